--- /dev/null
+++ b/crates/jackdawmux_entry/src/connection/listener.rs
@@ -0,0 +1,143 @@
+//! Connections of callers: accepting, limits and a graceful end.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::extract::ConnectInfo;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, oneshot};
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use tower::ServiceExt;
+
+/// Longest time for reading the headers of a request, and for which a connection may be idle.
+const HEADER_LONGEST: Duration = Duration::from_secs(15);
+/// Largest header section, in bytes.
+const HEADER_LIMIT: usize = 32 * 1024;
+/// Most header fields.
+const HEADER_FIELDS: usize = 100;
+/// Answer to connections above the limit.
+const FULL_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n\
+    Jackdaw-Outcome: not-run\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
+/// Limits towards callers.
+#[derive(Clone, Copy, Debug)]
+pub struct ListenerLimits {
+    /// Most connections at once.
+    pub max_connections: usize,
+}
+
+/// A running listener for callers.
+#[derive(Debug)]
+pub struct CallerListener {
+    /// Where it listens.
+    pub address: SocketAddr,
+    stop: Option<oneshot::Sender<Duration>>,
+    task: JoinHandle<()>,
+}
+
+impl CallerListener {
+    /// Serves callers on a bound listener.
+    #[must_use]
+    pub fn spawn(
+        listener: TcpListener,
+        address: SocketAddr,
+        router: Router,
+        limits: ListenerLimits,
+    ) -> Self {
+        let (stop, stopped) = oneshot::channel();
+        let task = tokio::spawn(accept_all(listener, router, limits, stopped));
+        Self { address, stop: Some(stop), task }
+    }
+
+    /// Accepts no more connections and waits, up to `longest`, until those that are open have
+    /// ended their requests.
+    pub async fn shut_down(mut self, longest: Duration) {
+        if let Some(stop) = self.stop.take()
+            && stop.send(longest).is_ok()
+            && (&mut self.task).await.is_err()
+        {
+            log::error!("event=listener-failed address={}", self.address);
+        }
+    }
+}
+
+impl Drop for CallerListener {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept_all(
+    listener: TcpListener,
+    router: Router,
+    limits: ListenerLimits,
+    mut stopped: oneshot::Receiver<Duration>,
+) {
+    let graceful = GracefulShutdown::new();
+    let permits = Arc::new(Semaphore::new(limits.max_connections));
+    let longest = loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, peer)) => serve(stream, peer, &router, &permits, &graceful),
+                Err(error) => {
+                    log::warn!("event=accept-failed error={error}");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            },
+            longest = &mut stopped => break longest.unwrap_or_default(),
+        }
+    };
+    drop(listener);
+    if timeout(longest, graceful.shutdown()).await.is_err() {
+        log::warn!("event=shutdown-cut reason=timeout");
+    }
+}
+
+fn serve(
+    stream: TcpStream,
+    peer: SocketAddr,
+    router: &Router,
+    permits: &Arc<Semaphore>,
+    graceful: &GracefulShutdown,
+) {
+    let Ok(permit) = Arc::clone(permits).try_acquire_owned() else {
+        tokio::spawn(refuse_connection(stream));
+        return;
+    };
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("event=caller-lost peer={peer} error={error}");
+        return;
+    }
+    let router = router.clone();
+    let service = hyper::service::service_fn(move |mut request: hyper::Request<Incoming>| {
+        request.extensions_mut().insert(ConnectInfo(peer));
+        router.clone().oneshot(request)
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_LONGEST)
+        .max_buf_size(HEADER_LIMIT)
+        .max_headers(HEADER_FIELDS)
+        .serve_connection(TokioIo::new(stream), service);
+    let connection = graceful.watch(connection);
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("event=caller-connection-ended peer={peer} error={error}");
+        }
+        drop(permit);
+    });
+}
+
+async fn refuse_connection(mut stream: TcpStream) {
+    if let Err(error) = stream.write_all(FULL_ANSWER).await {
+        log::debug!("event=caller-lost error={error}");
+    }
+}
--- /dev/null
+++ b/crates/jackdawmux_entry/src/process/clock.rs
@@ -0,0 +1,39 @@
+//! The process's clocks.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use jackdawmux_policy::clock::PolicyTime;
+use tokio::time::Instant;
+
+/// Monotonic clock that starts with the process, and the wall clock.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessClock {
+    start: Instant,
+}
+
+impl Default for ProcessClock {
+    fn default() -> Self {
+        Self { start: Instant::now() }
+    }
+}
+
+impl ProcessClock {
+    /// Monotonic time. It is never zero, so that zero can mean "never".
+    #[must_use]
+    pub fn now(&self) -> PolicyTime {
+        PolicyTime(1) + self.start.elapsed()
+    }
+
+    /// The instant at a monotonic time.
+    #[must_use]
+    pub fn instant(&self, time: PolicyTime) -> Instant {
+        self.start + Duration::from_micros(time.0)
+    }
+
+    /// Wall-clock time in Unix milliseconds.
+    #[must_use]
+    pub fn wall_ms(&self) -> u64 {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/crates/jackdawmux_entry/src/process/context.rs
@@ -0,0 +1,129 @@
+//! What every request of an instance shares.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use jackdawmux_peer::PeerKeys;
+use jackdawmux_platform::ObjectStore;
+use jackdawmux_policy::identity::{IncarnationId, RequestId};
+use kameo::actor::ActorRef;
+use tokio::sync::watch;
+
+use super::clock::ProcessClock;
+use super::metrics::EntryMetrics;
+use super::settings::EntrySettings;
+use super::steering::SteeringActor;
+use super::timeline::EventLog;
+use crate::connection::UpstreamPool;
+use crate::request::{OnceDesk, ShiftDesk};
+use crate::version::ForceState;
+
+/// One instance as callers may see it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DirectoryEntry {
+    /// The running process.
+    pub incarnation: IncarnationId,
+    /// Name of the instance.
+    pub instance: String,
+    /// Address for callers.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: String,
+    /// Whether it has been heard of lately and is not leaving.
+    pub is_usable: bool,
+}
+
+/// All instances known, this one among them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EntryDirectory {
+    /// Entries ordered by incarnation.
+    pub entries: Vec<DirectoryEntry>,
+}
+
+impl EntryDirectory {
+    /// Finds an instance by its process.
+    #[must_use]
+    pub fn find(&self, incarnation: IncarnationId) -> Option<&DirectoryEntry> {
+        self.entries.iter().find(|entry| entry.incarnation == incarnation)
+    }
+}
+
+/// Shared parts of one instance.
+#[derive(Debug)]
+pub struct EntryContext {
+    /// Checked settings.
+    pub settings: EntrySettings,
+    /// The running process.
+    pub incarnation: IncarnationId,
+    /// Address for callers, as bound.
+    pub address: SocketAddr,
+    /// Clocks.
+    pub clock: ProcessClock,
+    /// Time line of this process.
+    pub events: Arc<EventLog>,
+    /// Metrics.
+    pub metrics: EntryMetrics,
+    /// Keys shared by instances.
+    pub keys: PeerKeys,
+    /// The platform's store.
+    pub store: Arc<dyn ObjectStore>,
+    /// Connections to upstreams.
+    pub pool: UpstreamPool,
+    /// Steering state.
+    pub(crate) steering: ActorRef<SteeringActor>,
+    /// Keys of operations that run at most once.
+    pub once: OnceDesk,
+    /// Counts of requests moved by shifts.
+    pub shifts: ShiftDesk,
+    /// The configuration in force.
+    pub force: watch::Receiver<Option<Arc<ForceState>>>,
+    /// Instances known.
+    pub directory: watch::Receiver<Arc<EntryDirectory>>,
+    next_request: AtomicU64,
+}
+
+/// Parts from which a context is made.
+#[derive(Debug)]
+pub(crate) struct ContextParts {
+    pub(crate) settings: EntrySettings,
+    pub(crate) incarnation: IncarnationId,
+    pub(crate) address: SocketAddr,
+    pub(crate) clock: ProcessClock,
+    pub(crate) events: Arc<EventLog>,
+    pub(crate) metrics: EntryMetrics,
+    pub(crate) keys: PeerKeys,
+    pub(crate) store: Arc<dyn ObjectStore>,
+    pub(crate) pool: UpstreamPool,
+    pub(crate) steering: ActorRef<SteeringActor>,
+    pub(crate) force: watch::Receiver<Option<Arc<ForceState>>>,
+    pub(crate) directory: watch::Receiver<Arc<EntryDirectory>>,
+}
+
+impl EntryContext {
+    pub(crate) fn new(parts: ContextParts) -> Self {
+        let once = OnceDesk::new(parts.incarnation);
+        Self {
+            settings: parts.settings,
+            incarnation: parts.incarnation,
+            address: parts.address,
+            clock: parts.clock,
+            events: parts.events,
+            metrics: parts.metrics,
+            keys: parts.keys,
+            store: parts.store,
+            pool: parts.pool,
+            steering: parts.steering,
+            once,
+            shifts: ShiftDesk::default(),
+            force: parts.force,
+            directory: parts.directory,
+            next_request: AtomicU64::new(1),
+        }
+    }
+
+    /// A number for a new try of a request.
+    pub fn next_request(&self) -> RequestId {
+        RequestId(self.next_request.fetch_add(1, Ordering::Relaxed))
+    }
+}
--- /dev/null
+++ b/crates/jackdawmux_entry/src/process/launch.rs
@@ -0,0 +1,340 @@
+//! Starts and stops an instance.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jackdawmux_peer::{PeerEvent, PeerHub, PeerIdentity, PeerKeys};
+use jackdawmux_platform::{HttpStore, ObjectStore, UpdateOutcome};
+use jackdawmux_policy::group::GroupMember;
+use jackdawmux_policy::identity::IncarnationId;
+use jackdawmux_policy::lease::{LeaseCommittee, LeaseSettings};
+use jackdawmux_policy::steering::{InstanceSteering, SteeringSettings};
+use kameo::actor::{ActorRef, Spawn};
+use kameo::mailbox;
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+
+use super::clock::ProcessClock;
+use super::context::{ContextParts, EntryContext, EntryDirectory};
+use super::error::{BindSnafu, PeerSnafu, ProcessError, StoreSnafu};
+use super::metrics::EntryMetrics;
+use super::settings::{EntrySettings, parse_settings, settings_parser};
+use super::steering::{
+    AskDeparture, PulseTick, PutInForce, StartLeaving, SteeringActor, SteeringParts, WaitDrained,
+};
+use super::timeline::EventLog;
+use super::timer::TimerService;
+use super::view::{view_key, watch_view};
+use crate::connection::{CallerListener, ListenerLimits, UpstreamPool};
+use crate::request::build_router;
+use crate::version::{ConfigActor, ConfigParts, ForceState, HeadWatch, watch_head};
+
+/// Time between pulses to peers.
+const PULSE_PERIOD: Duration = Duration::from_millis(200);
+/// Time between sweeps of idle connections.
+const SWEEP_PERIOD: Duration = Duration::from_secs(5);
+/// Frames of peers that wait for the steering actor.
+const PEER_QUEUE: usize = 4_096;
+/// Longest time for a planned stop after look-ups have run out.
+const LEAVE_LONGEST: Duration = Duration::from_secs(60);
+/// Pause between checks whether everything has ended.
+const DRAIN_CHECK: Duration = Duration::from_millis(50);
+/// Tries to write the view without this instance.
+const DEPARTURE_TRIES: usize = 5;
+
+/// A running instance.
+#[derive(Debug)]
+pub struct EntryProcess {
+    context: Arc<EntryContext>,
+    peer_address: SocketAddr,
+    listener: CallerListener,
+    tasks: JoinSet<()>,
+    _timers: TimerService,
+}
+
+/// Runs the program: settings, logs, the instance, and a graceful stop on a signal.
+#[must_use]
+pub fn run() -> ExitCode {
+    let raw = settings_parser().run();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .format(|buffer, record| {
+            use std::io::Write as _;
+            writeln!(buffer, "level={} {}", record.level(), record.args())
+        })
+        .init();
+    let settings = match parse_settings(raw) {
+        Ok(settings) => settings,
+        Err(mistakes) => {
+            for mistake in mistakes {
+                log::error!("event=setting-refused error={:?}", mistake.to_string());
+            }
+            return ExitCode::from(2);
+        }
+    };
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            log::error!("event=start-failed step=runtime error={error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(run_until_signal(settings))
+}
+
+async fn run_until_signal(settings: EntrySettings) -> ExitCode {
+    let process = match EntryProcess::open(settings).await {
+        Ok(process) => process,
+        Err(error) => {
+            log::error!("event=start-failed {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    println!("listening address={} peer={}", process.address(), process.peer_address());
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        log::error!("event=start-failed step=signals");
+        return ExitCode::FAILURE;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    process.leave().await;
+    ExitCode::SUCCESS
+}
+
+impl EntryProcess {
+    /// Binds the addresses and starts every part.
+    ///
+    /// # Errors
+    /// When an address cannot be bound or a part cannot be set up.
+    pub async fn open(settings: EntrySettings) -> Result<Self, ProcessError> {
+        let store = Arc::new(HttpStore::open(&settings.store, None).context(StoreSnafu)?) as Arc<_>;
+        Self::open_with(settings, store).await
+    }
+
+    /// As [`Self::open`], with a client of the store that the caller has set up.
+    ///
+    /// # Errors
+    /// When an address cannot be bound or a part cannot be set up.
+    pub async fn open_with(
+        settings: EntrySettings,
+        store: Arc<dyn ObjectStore>,
+    ) -> Result<Self, ProcessError> {
+        let (callers, address) = bind("listen", settings.listen).await?;
+        let (peers, peer_address) = bind("peer-listen", settings.peer_listen).await?;
+        let identity = PeerIdentity {
+            instance: settings.instance.clone(),
+            incarnation: IncarnationId(rand::random()),
+            address,
+            peer_address,
+            domain: settings.failure_domain.clone(),
+        };
+        let clock = ProcessClock::default();
+        let events = Arc::new(EventLog::new(&settings.instance, clock));
+        events.record(
+            "started",
+            &[
+                ("incarnation", &identity.incarnation),
+                ("address", &address),
+                ("failure_domain", &settings.failure_domain),
+            ],
+        );
+        let keys = PeerKeys::new(&settings.peer_keys);
+        let (peer_events, incoming) = mpsc::channel(PEER_QUEUE);
+        let hub = PeerHub::spawn(peers, identity.clone(), keys.clone(), peer_events)
+            .context(PeerSnafu)?;
+        hub.seed(&settings.seeds);
+        let pool = UpstreamPool::default();
+        let (directory_sender, directory) = watch::channel(Arc::new(EntryDirectory::default()));
+        let (force_sender, force) = watch::channel(None);
+        let config = ConfigActor::spawn(ConfigParts {
+            events: Arc::clone(&events),
+            clock,
+            force: force_sender,
+        });
+        let key = view_key(&settings.group);
+        let parts = SteeringParts {
+            own: identity.clone(),
+            steering: InstanceSteering::new(member_of(&identity), steering_settings(&settings)),
+            clock,
+            hub: Arc::new(hub),
+            store: Arc::clone(&store),
+            view_key: key.clone(),
+            events: Arc::clone(&events),
+            pool: pool.clone(),
+            directory: directory_sender,
+            config: config.clone(),
+        };
+        // Unbounded, because a slot must always find its way back; what can queue is bounded by
+        // the connections of callers and the queue of peers' frames.
+        let steering = SteeringActor::spawn_with_mailbox(parts, mailbox::unbounded());
+        let context = Arc::new(EntryContext::new(ContextParts {
+            settings,
+            incarnation: identity.incarnation,
+            address,
+            clock,
+            events: Arc::clone(&events),
+            metrics: EntryMetrics::open()?,
+            keys,
+            store: Arc::clone(&store),
+            pool,
+            steering: steering.clone(),
+            force: force.clone(),
+            directory,
+        }));
+        let mut tasks = JoinSet::new();
+        let mut timers = TimerService::default();
+        tasks.spawn(watch_view(Arc::clone(&store), key, steering.clone()));
+        let head_watch = HeadWatch { store, config, force: force.clone(), events };
+        tasks.spawn(watch_head(head_watch));
+        tasks.spawn(pass_frames(incoming, steering.clone()));
+        tasks.spawn(pass_versions(force, steering.clone(), Arc::clone(&context)));
+        tasks.spawn(pulse_regularly(timers.every(PULSE_PERIOD), steering));
+        tasks.spawn(sweep_regularly(timers.every(SWEEP_PERIOD), Arc::clone(&context)));
+        let limits = ListenerLimits { max_connections: context.settings.max_connections };
+        let router = build_router(Arc::clone(&context));
+        let listener = CallerListener::spawn(callers, address, router, limits);
+        Ok(Self { context, peer_address, listener, tasks, _timers: timers })
+    }
+
+    /// Address for callers.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.context.address
+    }
+
+    /// Address for other instances.
+    #[must_use]
+    pub const fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Shared parts, for inspection.
+    #[must_use]
+    pub const fn context(&self) -> &Arc<EntryContext> {
+        &self.context
+    }
+
+    /// Leaves: look-ups stop naming this instance at once, cached look-ups still work until
+    /// their time to live, endpoints are handed over, requests end, and the instance stops.
+    pub async fn leave(self) {
+        let Self { context, listener, mut tasks, _timers, .. } = self;
+        if context.steering.tell(StartLeaving).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(context.settings.lookup_ttl).await;
+        listener.shut_down(LEAVE_LONGEST).await;
+        wait_drained(&context).await;
+        depart(&context).await;
+        context.events.record("stopped", &[]);
+        tasks.shutdown().await;
+    }
+}
+
+async fn bind(
+    step: &'static str,
+    address: SocketAddr,
+) -> Result<(TcpListener, SocketAddr), ProcessError> {
+    let context = || BindSnafu { step, address: address.to_string() };
+    let listener = TcpListener::bind(address).await.with_context(|_| context())?;
+    let bound = listener.local_addr().with_context(|_| context())?;
+    Ok((listener, bound))
+}
+
+fn member_of(identity: &PeerIdentity) -> GroupMember {
+    GroupMember {
+        instance: identity.instance.clone(),
+        incarnation: identity.incarnation,
+        address: identity.address,
+        peer_address: identity.peer_address,
+        domain: identity.domain.clone(),
+        committee: LeaseCommittee::new(),
+        is_leaving: false,
+    }
+}
+
+fn steering_settings(settings: &EntrySettings) -> SteeringSettings {
+    let promise_ttl = settings.lease;
+    let lease = LeaseSettings { promise_ttl, rate_margin: promise_ttl / 10 };
+    SteeringSettings { lease, loan_ttl: promise_ttl * 2 / 3, ..SteeringSettings::default() }
+}
+
+async fn pass_frames(mut incoming: mpsc::Receiver<PeerEvent>, steering: ActorRef<SteeringActor>) {
+    while let Some(event) = incoming.recv().await {
+        if steering.tell(event).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn pass_versions(
+    mut force: watch::Receiver<Option<Arc<ForceState>>>,
+    steering: ActorRef<SteeringActor>,
+    context: Arc<EntryContext>,
+) {
+    while force.changed().await.is_ok() {
+        let state = force.borrow_and_update().clone();
+        let Some(state) = state else {
+            continue;
+        };
+        context.metrics.set_version(state.content.version);
+        let content = Arc::clone(&state.content);
+        let message = PutInForce { content, table: Arc::clone(&state.table) };
+        if steering.tell(message).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn pulse_regularly(mut ticks: mpsc::Receiver<()>, steering: ActorRef<SteeringActor>) {
+    while ticks.recv().await.is_some() {
+        if steering.tell(PulseTick).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn sweep_regularly(mut ticks: mpsc::Receiver<()>, context: Arc<EntryContext>) {
+    while ticks.recv().await.is_some() {
+        context.pool.close_old();
+    }
+}
+
+async fn wait_drained(context: &EntryContext) {
+    let longest = tokio::time::Instant::now() + LEAVE_LONGEST;
+    while tokio::time::Instant::now() < longest {
+        if context.steering.ask(WaitDrained).await.unwrap_or(true) {
+            return;
+        }
+        tokio::time::sleep(DRAIN_CHECK).await;
+    }
+    log::warn!("event=leave-cut reason=timeout");
+}
+
+/// Takes this instance out of the stored view; without the store, others take over later.
+async fn depart(context: &EntryContext) {
+    let key = view_key(&context.settings.group);
+    for _ in 0..DEPARTURE_TRIES {
+        let Ok(Some((expected, view))) = context.steering.ask(AskDeparture).await else {
+            return;
+        };
+        let Ok(content) = serde_json::to_vec(&view) else {
+            return;
+        };
+        match context.store.update(&key, expected, content.into()).await {
+            UpdateOutcome::Done(_) => return,
+            UpdateOutcome::Conflict => tokio::time::sleep(DRAIN_CHECK).await,
+            UpdateOutcome::NotDone(error) | UpdateOutcome::Unknown(error) => {
+                log::warn!("event=departure-unwritten {error}");
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jackdawmux_entry/src/process/metrics.rs
@@ -0,0 +1,87 @@
+//! Metrics, read by the usual scraper at `/metrics`.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use super::error::ProcessError;
+
+/// Bounds of the latency histogram, in seconds.
+const LATENCY_BOUNDS: [f64; 14] =
+    [0.000_2, 0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
+
+/// Metrics of one instance.
+#[derive(Debug)]
+pub struct EntryMetrics {
+    registry: Registry,
+    // Kept alive: dropping the provider ends collection.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    latency: Histogram<f64>,
+    retries: Counter<u64>,
+    config_version: Gauge<u64>,
+    alarms: Counter<u64>,
+}
+
+impl EntryMetrics {
+    /// Sets up the metrics of one instance.
+    ///
+    /// # Errors
+    /// When the exporter cannot be set up.
+    pub fn open() -> Result<Self, ProcessError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .map_err(|error| ProcessError::Metrics { reason: error.to_string() })?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("jackdawmux");
+        Ok(Self {
+            requests: meter.u64_counter("jackdawmux_requests").build(),
+            latency: meter
+                .f64_histogram("jackdawmux_request_seconds")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
+            retries: meter.u64_counter("jackdawmux_retries").build(),
+            config_version: meter.u64_gauge("jackdawmux_config_version").build(),
+            alarms: meter.u64_counter("jackdawmux_alarms").build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request that got its final answer.
+    pub fn count_request(&self, service: &str, outcome: &str, latency: Duration) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("outcome", outcome.to_owned()),
+        ];
+        self.requests.add(1, &labels);
+        self.latency.record(latency.as_secs_f64(), &labels);
+    }
+
+    /// Counts a retry.
+    pub fn count_retry(&self, service: &str) {
+        self.retries.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Sets the version in force.
+    pub fn set_version(&self, version: u64) {
+        self.config_version.record(version, &[]);
+    }
+
+    /// Counts an alarm, which an operator should look into.
+    pub fn count_alarm(&self, kind: &str) {
+        self.alarms.add(1, &[KeyValue::new("kind", kind.to_owned())]);
+    }
+
+    /// All metrics in the text format of the usual scraper.
+    #[must_use]
+    pub fn render(&self) -> String {
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/jackdawmux_entry/src/process/mod.rs
@@ -0,0 +1,25 @@
+//! What lives as long as the process.
+
+mod clock;
+mod context;
+mod error;
+mod launch;
+mod metrics;
+mod settings;
+mod steering;
+mod timeline;
+mod timer;
+mod view;
+
+pub use clock::ProcessClock;
+pub use context::{DirectoryEntry, EntryContext, EntryDirectory};
+pub use error::ProcessError;
+pub use launch::{EntryProcess, run};
+pub use metrics::EntryMetrics;
+pub use settings::{EntrySettings, SettingMistake, parse_settings, settings_parser};
+pub(crate) use steering::{
+    Admission, AdmitRequest, AskStatus, CancelRequest, FinishRequest, SpendRetry,
+};
+pub use steering::{EndpointStatus, ServiceStatus, SteeringStatus};
+pub use timeline::{EventLog, TimelineEvent};
+pub use timer::TimerService;
--- /dev/null
+++ b/crates/jackdawmux_entry/src/process/steering.rs
@@ -0,0 +1,620 @@
+//! The actor that owns the steering state and carries out its actions.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jackdawmux_peer::{
+    ConfigContent, FrameBody, PeerEvent, PeerFrame, PeerHub, PeerIdentity, PeerTarget,
+};
+use jackdawmux_platform::ObjectStore;
+use jackdawmux_policy::clock::PolicyTime;
+use jackdawmux_policy::desk::SlotRequest;
+use jackdawmux_policy::endpoint::{EndpointState, ExchangeResult};
+use jackdawmux_policy::group::GroupView;
+use jackdawmux_policy::identity::{IncarnationId, RequestId};
+use jackdawmux_policy::message::SteeringMessage;
+use jackdawmux_policy::outcome::RequestRefusal;
+use jackdawmux_policy::poison::{PoisonSettings, RequestDigest, SuspectLevel, SuspectList};
+use jackdawmux_policy::steering::{InstanceSteering, SteeringAction};
+use jackdawmux_policy::table::RouteTable;
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::{Context, Message};
+use serde::{Deserialize, Serialize};
+use tokio::sync::{oneshot, watch};
+
+use super::clock::ProcessClock;
+use super::context::{DirectoryEntry, EntryDirectory};
+use super::view::write_view;
+use crate::connection::UpstreamPool;
+use crate::process::timeline::EventLog;
+use crate::version::{ConfigActor, OfferConfig};
+
+/// Bounds of the list of requests that brought endpoints down.
+const POISON: PoisonSettings = PoisonSettings { expiry: Duration::from_secs(600), limit: 10_000 };
+
+/// A slot given to a request.
+#[derive(Debug)]
+pub(crate) struct Admission {
+    /// Where to send it.
+    pub(crate) endpoint: SocketAddr,
+    /// Failure domain of the endpoint.
+    pub(crate) domain: String,
+    /// When the work must have ended, in Unix milliseconds, fixed when the slot is given.
+    pub(crate) work_until_ms: u64,
+}
+
+/// Answer to a request for a slot.
+pub(crate) type AdmissionResult = Result<Admission, RequestRefusal>;
+
+/// Asks for a slot.
+#[derive(Debug)]
+pub(crate) struct AdmitRequest {
+    /// Name of the service.
+    pub(crate) service: String,
+    /// What is asked.
+    pub(crate) request: SlotRequest,
+    /// Digest by which a repeated request is recognised.
+    pub(crate) digest: RequestDigest,
+    /// Where the answer goes.
+    pub(crate) answer: oneshot::Sender<AdmissionResult>,
+}
+
+/// A dispatched request ended.
+#[derive(Debug)]
+pub(crate) struct FinishRequest {
+    /// Name of the service.
+    pub(crate) service: String,
+    /// The try.
+    pub(crate) id: RequestId,
+    /// How it ended.
+    pub(crate) result: ExchangeResult,
+    /// Time of the exchange.
+    pub(crate) latency: Duration,
+    /// Whether the endpoint closed the connection without an answer while the request ran.
+    pub(crate) is_death: bool,
+}
+
+/// A waiting request is no longer wanted.
+#[derive(Debug)]
+pub(crate) struct CancelRequest {
+    /// Name of the service.
+    pub(crate) service: String,
+    /// The try.
+    pub(crate) id: RequestId,
+}
+
+/// Asks whether a retry may be made, and spends the budget when it may.
+#[derive(Debug)]
+pub(crate) struct SpendRetry {
+    /// Name of the service.
+    pub(crate) service: String,
+}
+
+/// A planned stop begins.
+#[derive(Debug)]
+pub(crate) struct StartLeaving;
+
+/// Asks whether nothing runs here any more.
+#[derive(Debug)]
+pub(crate) struct WaitDrained;
+
+/// Asks for the view to write when leaving for good.
+#[derive(Debug)]
+pub(crate) struct AskDeparture;
+
+/// Regular work.
+#[derive(Debug)]
+pub(crate) struct PulseTick;
+
+/// The store showed the view, or that there is none.
+#[derive(Debug)]
+pub(crate) struct ViewRead {
+    pub(crate) view: Option<(u64, GroupView)>,
+    pub(crate) is_write_end: bool,
+}
+
+/// A write of the view ended and the store did not answer afterwards.
+#[derive(Debug)]
+pub(crate) struct WriteEnded;
+
+/// A version of the configuration comes into force.
+#[derive(Debug)]
+pub(crate) struct PutInForce {
+    pub(crate) content: Arc<ConfigContent>,
+    pub(crate) table: Arc<RouteTable>,
+}
+
+/// Asks for a report of the steering state.
+#[derive(Debug)]
+pub(crate) struct AskStatus;
+
+/// One endpoint in a report.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct EndpointStatus {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: String,
+    /// Slots by the rules.
+    pub slots: u32,
+    /// Slots used here.
+    pub own: u32,
+    /// Slots lent to peers.
+    pub lent: u32,
+    /// Slots that could be given out now.
+    pub free: u32,
+    /// `open`, `draining` or `suspended`.
+    pub state: String,
+}
+
+/// One service in a report.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ServiceStatus {
+    /// Name of the service.
+    pub service: String,
+    /// Requests running here.
+    pub running: usize,
+    /// Requests waiting here.
+    pub waiting: usize,
+    /// Endpoints owned here.
+    pub endpoints: Vec<EndpointStatus>,
+}
+
+/// Report of one instance's steering state.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SteeringStatus {
+    /// Whether the stored view names this instance.
+    pub is_member: bool,
+    /// Whether a planned stop has begun.
+    pub is_leaving: bool,
+    /// Version of the stored view last seen.
+    pub view_version: u64,
+    /// Time left of the lease, in milliseconds; none when it needs no renewal.
+    pub lease_left_ms: Option<u64>,
+    /// Peers heard of lately.
+    pub peers: usize,
+    /// Services in the order of their names.
+    pub services: Vec<ServiceStatus>,
+}
+
+/// What the actor works with.
+#[derive(Debug)]
+pub(crate) struct SteeringParts {
+    pub(crate) own: PeerIdentity,
+    pub(crate) steering: InstanceSteering,
+    pub(crate) clock: ProcessClock,
+    pub(crate) hub: Arc<PeerHub>,
+    pub(crate) store: Arc<dyn ObjectStore>,
+    pub(crate) view_key: String,
+    pub(crate) events: Arc<EventLog>,
+    pub(crate) pool: UpstreamPool,
+    pub(crate) directory: watch::Sender<Arc<EntryDirectory>>,
+    pub(crate) config: ActorRef<ConfigActor>,
+}
+
+/// Owner of the steering state.
+#[derive(Debug)]
+pub(crate) struct SteeringActor {
+    parts: SteeringParts,
+    own_ref: ActorRef<Self>,
+    answers: HashMap<RequestId, (String, oneshot::Sender<AdmissionResult>)>,
+    digests: HashMap<RequestId, (RequestDigest, SocketAddr, bool)>,
+    suspects: SuspectList,
+    met: HashMap<IncarnationId, PeerIdentity>,
+    content: Option<Arc<ConfigContent>>,
+}
+
+impl Actor for SteeringActor {
+    type Args = SteeringParts;
+    type Error = std::convert::Infallible;
+
+    async fn on_start(parts: SteeringParts, own_ref: ActorRef<Self>) -> Result<Self, Self::Error> {
+        Ok(Self {
+            parts,
+            own_ref,
+            answers: HashMap::new(),
+            digests: HashMap::new(),
+            suspects: SuspectList::new(POISON),
+            met: HashMap::new(),
+            content: None,
+        })
+    }
+}
+
+impl SteeringActor {
+    fn now(&self) -> PolicyTime {
+        self.parts.clock.now()
+    }
+
+    fn carry_out(&mut self, actions: Vec<SteeringAction>) {
+        let mut pending = actions;
+        while !pending.is_empty() {
+            let mut further = Vec::new();
+            for action in pending {
+                self.carry_out_one(action, &mut further);
+            }
+            pending = further;
+        }
+    }
+
+    fn carry_out_one(&mut self, action: SteeringAction, further: &mut Vec<SteeringAction>) {
+        match action {
+            SteeringAction::Dispatch { id, endpoint, domain, allowance } => {
+                let allowance = u64::try_from(allowance.as_millis()).unwrap_or(u64::MAX);
+                let work_until_ms = self.parts.clock.wall_ms().saturating_add(allowance);
+                self.dispatch(id, Admission { endpoint, domain, work_until_ms }, further);
+            }
+            SteeringAction::Refuse { id, refusal } => {
+                self.digests.remove(&id);
+                if let Some((_, answer)) = self.answers.remove(&id) {
+                    // The caller may have gone; then nobody waits for the refusal.
+                    let _gone = answer.send(Err(refusal));
+                }
+            }
+            SteeringAction::CloseIdle(address) => self.parts.pool.close_idle(address),
+            SteeringAction::Send(peer, message) => self.send(peer, message, further),
+            SteeringAction::WriteView { expected, view } => {
+                let store = Arc::clone(&self.parts.store);
+                let key = self.parts.view_key.clone();
+                tokio::spawn(write_view(store, key, expected, view, self.own_ref.clone()));
+            }
+            SteeringAction::ConfigBehind(peer) => {
+                let have = self.content.as_ref().map_or(0, |content| content.version);
+                self.send_body(peer, FrameBody::ConfigAsk { have });
+            }
+            SteeringAction::Event(event, peer) => match peer {
+                Some(peer) => self.parts.events.record(&event.to_string(), &[("peer", &peer)]),
+                None => self.parts.events.record(&event.to_string(), &[]),
+            },
+        }
+    }
+
+    fn dispatch(&mut self, id: RequestId, admission: Admission, further: &mut Vec<SteeringAction>) {
+        if let Some((digest, endpoint, _)) = self.digests.get_mut(&id) {
+            *endpoint = admission.endpoint;
+            let level = self.suspects.level(self.parts.clock.now(), *digest);
+            log::trace!("event=dispatch request={} level={level:?}", id.0);
+        }
+        let Some((service, answer)) = self.answers.remove(&id) else {
+            return;
+        };
+        if answer.send(Ok(admission)).is_err() {
+            // The caller went away while the slot was on its way: give the slot back unused.
+            self.digests.remove(&id);
+            let now = self.now();
+            let result = ExchangeResult::Cancelled;
+            further.extend(self.parts.steering.finish(now, &service, id, result, Duration::ZERO));
+        }
+    }
+
+    fn send(
+        &mut self,
+        peer: IncarnationId,
+        message: SteeringMessage,
+        further: &mut Vec<SteeringAction>,
+    ) {
+        let unsent_grant = match &message {
+            SteeringMessage::Grant { service, loan, .. } => Some((service.clone(), loan.id)),
+            _ => None,
+        };
+        let is_queued = self.send_body(peer, FrameBody::Steering(message));
+        // A grant that never left this process can be undone at once.
+        if let Some((service, loan)) = unsent_grant.filter(|_| !is_queued) {
+            let undo = SteeringMessage::Return { service, loan, report: None };
+            further.extend(self.parts.steering.receive(self.now(), peer, undo));
+        }
+    }
+
+    fn send_body(&self, peer: IncarnationId, body: FrameBody) -> bool {
+        let stamp = self.parts.events.stamp();
+        self.parts.hub.send(peer, PeerFrame { stamp, body })
+    }
+
+    fn refresh_links(&self) {
+        let own = self.parts.own.incarnation;
+        let view = self.parts.steering.membership().view();
+        let mut targets: Vec<PeerTarget> = view
+            .members
+            .iter()
+            .map(|member| PeerTarget {
+                incarnation: member.incarnation,
+                address: member.peer_address,
+            })
+            .collect();
+        for identity in self.met.values() {
+            let is_known = targets.iter().any(|target| target.address == identity.peer_address);
+            if !is_known {
+                let (incarnation, address) = (identity.incarnation, identity.peer_address);
+                targets.push(PeerTarget { incarnation, address });
+            }
+        }
+        targets.retain(|target| target.incarnation != own);
+        self.parts.hub.set_peers(&targets);
+    }
+
+    fn refresh_directory(&self) {
+        let now = self.now();
+        let membership = self.parts.steering.membership();
+        let own = &self.parts.own;
+        let mut entries: Vec<DirectoryEntry> = membership
+            .view()
+            .members
+            .iter()
+            .filter(|member| member.incarnation != own.incarnation)
+            .map(|member| DirectoryEntry {
+                incarnation: member.incarnation,
+                instance: member.instance.clone(),
+                address: member.address,
+                domain: member.domain.clone(),
+                is_usable: !member.is_leaving && membership.is_alive(now, member.incarnation),
+            })
+            .collect();
+        entries.push(DirectoryEntry {
+            incarnation: own.incarnation,
+            instance: own.instance.clone(),
+            address: own.address,
+            domain: own.domain.clone(),
+            is_usable: !membership.is_leaving(),
+        });
+        entries.sort_by_key(|entry| entry.incarnation);
+        self.parts.directory.send_if_modified(|directory| {
+            let is_changed = directory.entries != entries;
+            if is_changed {
+                *directory = Arc::new(EntryDirectory { entries });
+            }
+            is_changed
+        });
+    }
+
+    fn receive_frame(&mut self, peer: IncarnationId, frame: PeerFrame) {
+        self.parts.events.observe(frame.stamp);
+        match frame.body {
+            FrameBody::Steering(SteeringMessage::Suspect { digest, is_convicted }) => {
+                let level =
+                    if is_convicted { SuspectLevel::Convicted } else { SuspectLevel::Suspect };
+                self.suspects.learn(self.now(), digest, level);
+            }
+            FrameBody::Steering(message) => {
+                let actions = self.parts.steering.receive(self.now(), peer, message);
+                self.carry_out(actions);
+            }
+            FrameBody::ConfigAsk { have } => {
+                if let Some(content) = self.content.clone().filter(|known| known.version > have) {
+                    self.send_body(peer, FrameBody::ConfigOffer((*content).clone()));
+                }
+            }
+            FrameBody::ConfigOffer(content) => {
+                let offer = OfferConfig { content, source: format!("peer {peer}") };
+                if self.parts.config.tell(offer).try_send().is_err() {
+                    log::debug!("event=config-offer-dropped peer={peer}");
+                }
+            }
+        }
+    }
+
+    /// Blames the request that ended with its endpoint's connection closed without an answer.
+    fn blame(&mut self, id: RequestId) {
+        let Some((digest, endpoint, was_alone)) = self.digests.get(&id).copied() else {
+            return;
+        };
+        let level = self.suspects.blame(self.now(), digest, was_alone);
+        let is_convicted = level == SuspectLevel::Convicted;
+        self.parts.events.record(
+            "request-blamed",
+            &[
+                ("digest", &format!("{digest:016x}")),
+                ("endpoint", &endpoint),
+                ("convicted", &is_convicted),
+            ],
+        );
+        let stamp = self.parts.events.stamp();
+        let message = SteeringMessage::Suspect { digest, is_convicted };
+        self.parts.hub.broadcast(&PeerFrame { stamp, body: FrameBody::Steering(message) });
+    }
+
+    fn status(&self) -> SteeringStatus {
+        let now = self.now();
+        let membership = self.parts.steering.membership();
+        let lease = membership.lease_until();
+        let is_unbounded = lease == PolicyTime(u64::MAX);
+        let left = u64::try_from(lease.since(now).as_millis()).unwrap_or(u64::MAX);
+        let services = self.parts.steering.desks().iter().map(|(service, desk)| ServiceStatus {
+            service: service.clone(),
+            running: desk.running(),
+            waiting: desk.waiting(),
+            endpoints: desk
+                .endpoints()
+                .iter()
+                .map(|endpoint| EndpointStatus {
+                    address: endpoint.address,
+                    domain: endpoint.domain.clone(),
+                    slots: endpoint.hard,
+                    own: endpoint.own,
+                    lent: endpoint.lent,
+                    free: endpoint.free(now),
+                    state: match endpoint.state {
+                        EndpointState::Open => "open",
+                        EndpointState::Draining => "draining",
+                        EndpointState::Suspended(_) => "suspended",
+                    }
+                    .to_owned(),
+                })
+                .collect(),
+        });
+        SteeringStatus {
+            is_member: membership.is_member(),
+            is_leaving: membership.is_leaving(),
+            view_version: membership.version(),
+            lease_left_ms: (!is_unbounded).then_some(left),
+            peers: membership.living(now).count(),
+            services: services.collect(),
+        }
+    }
+}
+
+impl Message<AdmitRequest> for SteeringActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: AdmitRequest, _: &mut Context<Self, ()>) {
+        let now = self.now();
+        let AdmitRequest { service, mut request, digest, answer } = message;
+        let level = self.suspects.level(now, digest);
+        if level == SuspectLevel::Convicted {
+            let reason = jackdawmux_policy::outcome::RefusalReason::Poisonous;
+            let _gone = answer.send(Err(RequestRefusal::later(reason, POISON.expiry)));
+            return;
+        }
+        request.is_suspect = level == SuspectLevel::Suspect;
+        let unset = SocketAddr::from(([0, 0, 0, 0], 0));
+        self.digests.insert(request.id, (digest, unset, request.is_suspect));
+        self.answers.insert(request.id, (service.clone(), answer));
+        let actions = self.parts.steering.admit(now, &service, request);
+        self.carry_out(actions);
+    }
+}
+
+impl Message<FinishRequest> for SteeringActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: FinishRequest, _: &mut Context<Self, ()>) {
+        let FinishRequest { service, id, result, latency, is_death } = message;
+        if is_death {
+            self.blame(id);
+        }
+        if let Some((digest, _, was_alone)) = self.digests.remove(&id)
+            && was_alone
+            && result == ExchangeResult::Answered
+        {
+            self.suspects.acquit(digest);
+        }
+        let actions = self.parts.steering.finish(self.now(), &service, id, result, latency);
+        self.carry_out(actions);
+    }
+}
+
+impl Message<CancelRequest> for SteeringActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: CancelRequest, _: &mut Context<Self, ()>) {
+        self.digests.remove(&message.id);
+        if self.answers.remove(&message.id).is_none() {
+            // A slot was given in the meantime; whoever held its answer gives it back.
+            return;
+        }
+        let actions = self.parts.steering.cancel(self.now(), &message.service, message.id);
+        self.carry_out(actions);
+    }
+}
+
+impl Message<SpendRetry> for SteeringActor {
+    type Reply = bool;
+
+    async fn handle(&mut self, message: SpendRetry, _: &mut Context<Self, bool>) -> bool {
+        self.parts.steering.spend_retry(&message.service)
+    }
+}
+
+impl Message<PulseTick> for SteeringActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: PulseTick, _: &mut Context<Self, ()>) {
+        let actions = self.parts.steering.pulse(self.now());
+        self.carry_out(actions);
+        self.refresh_directory();
+    }
+}
+
+impl Message<ViewRead> for SteeringActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: ViewRead, _: &mut Context<Self, ()>) {
+        let now = self.now();
+        self.parts.steering.see_store(now, message.is_write_end);
+        if let Some((version, view)) = message.view {
+            let actions = self.parts.steering.see_view(now, version, view);
+            self.refresh_links();
+            self.carry_out(actions);
+            self.refresh_directory();
+        }
+    }
+}
+
+impl Message<WriteEnded> for SteeringActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: WriteEnded, _: &mut Context<Self, ()>) {
+        self.parts.steering.lose_write();
+    }
+}
+
+impl Message<PutInForce> for SteeringActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: PutInForce, _: &mut Context<Self, ()>) {
+        let now = self.now();
+        let version = message.content.version;
+        self.content = Some(message.content);
+        let actions = self.parts.steering.put_in_force(now, version, message.table);
+        self.carry_out(actions);
+        // Peers learn of the new version at once rather than with the next regular pulse.
+        let actions = self.parts.steering.pulse(now);
+        self.carry_out(actions);
+    }
+}
+
+impl Message<PeerEvent> for SteeringActor {
+    type Reply = ();
+
+    async fn handle(&mut self, event: PeerEvent, _: &mut Context<Self, ()>) {
+        match event {
+            PeerEvent::Joined(identity) => {
+                let now = self.now();
+                self.parts.steering.meet(now, identity.incarnation, &identity.domain);
+                // A new process at an address replaces the one that was met there.
+                self.met.retain(|_, known| known.peer_address != identity.peer_address);
+                self.met.insert(identity.incarnation, identity);
+                self.refresh_links();
+            }
+            PeerEvent::Frame(peer, frame) => self.receive_frame(peer, frame),
+            PeerEvent::Closed(peer) => log::debug!("event=peer-closed peer={peer}"),
+        }
+    }
+}
+
+impl Message<StartLeaving> for SteeringActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: StartLeaving, _: &mut Context<Self, ()>) {
+        self.parts.events.record("leaving", &[]);
+        let actions = self.parts.steering.leave(self.now());
+        self.carry_out(actions);
+        self.refresh_directory();
+    }
+}
+
+impl Message<WaitDrained> for SteeringActor {
+    type Reply = bool;
+
+    async fn handle(&mut self, _: WaitDrained, _: &mut Context<Self, bool>) -> bool {
+        self.parts.steering.is_drained()
+    }
+}
+
+impl Message<AskDeparture> for SteeringActor {
+    type Reply = Option<(u64, GroupView)>;
+
+    async fn handle(&mut self, _: AskDeparture, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.parts.steering.membership().departure()
+    }
+}
+
+impl Message<AskStatus> for SteeringActor {
+    type Reply = Option<SteeringStatus>;
+
+    async fn handle(&mut self, _: AskStatus, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        Some(self.status())
+    }
+}
--- /dev/null
+++ b/crates/jackdawmux_entry/src/request/mod.rs
@@ -0,0 +1,22 @@
+//! What lives as long as a request.
+
+mod admin;
+mod answer;
+mod body;
+mod claims;
+mod forward;
+mod guard;
+mod lookup;
+mod once;
+mod pass_on;
+mod plan;
+mod refusal;
+mod register;
+mod router;
+mod shift;
+
+pub use admin::InstanceStatus;
+pub use once::home_of_key;
+pub use register::OnceDesk;
+pub(crate) use router::build_router;
+pub use shift::ShiftDesk;
--- /dev/null
+++ b/crates/jackdawmux_entry/src/request/pass_on.rs
@@ -0,0 +1,105 @@
+//! Passes a request on to the instance that its key belongs to.
+//!
+//! It travels over HTTP on the receiver's address for callers, because bodies stream there under
+//! the same limits; a code under the shared key shows that an instance passed it on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::http::{HeaderMap, HeaderValue, Request, Response, Uri};
+use http_body_util::BodyExt;
+use jackdawmux_peer::PeerKeys;
+use tokio::time::timeout_at;
+
+use super::body::RequestBody;
+use super::plan::{DEADLINE_HEADER, RequestPlan};
+use crate::connection::{ExchangeEnd, exchange};
+use crate::process::{DirectoryEntry, EntryContext};
+
+/// Header that shows that an instance passed a request on.
+const PASSED_HEADER: &str = "jackdaw-passed-on";
+/// Time left to the receiver for its answer to travel back.
+const RETURN_MARGIN: Duration = Duration::from_millis(20);
+
+/// How passing a request on ended.
+#[derive(Debug)]
+pub(crate) enum PassEnd {
+    /// The other instance gave the final answer.
+    Answered(Response<Body>),
+    /// It was sent and no whole answer came.
+    Lost,
+    /// No byte was sent; the body comes back.
+    Unsent(RequestBody),
+}
+
+/// Whether another instance passed the request on.
+pub(crate) fn is_passed_on(keys: &PeerKeys, headers: &HeaderMap, target: &str) -> bool {
+    let code = headers.get(PASSED_HEADER).and_then(|value| decode_hex(value.as_bytes()));
+    let key = headers.get("idempotency-key").map(HeaderValue::as_bytes).unwrap_or_default();
+    code.is_some_and(|code| keys.verify(&[b"pass-on", target.as_bytes(), key], &code))
+}
+
+/// Passes a request on and relays the answer.
+pub(crate) async fn pass_on(
+    context: &Arc<EntryContext>,
+    plan: &RequestPlan,
+    mut body: RequestBody,
+    key: &str,
+    home: &DirectoryEntry,
+) -> PassEnd {
+    let left = plan.deadline.since(context.clock.now()).saturating_sub(RETURN_MARGIN);
+    let (Some(content), Some(request)) = (body.take(), head(context, plan, key, left)) else {
+        return PassEnd::Unsent(body);
+    };
+    let request = request.map(|()| content);
+    match exchange(&context.pool, home.address, request, left).await {
+        ExchangeEnd::Unsent { request, .. } => {
+            body.restore(request.into_body());
+            PassEnd::Unsent(body)
+        }
+        ExchangeEnd::Lost { error, .. } => {
+            log::debug!("event=pass-on-lost peer={} error={error:?}", home.address);
+            PassEnd::Lost
+        }
+        ExchangeEnd::Answered(answer) => {
+            let (head, incoming) = answer.response.into_parts();
+            let until = context.clock.instant(plan.deadline);
+            match timeout_at(until, incoming.collect()).await {
+                Ok(Ok(collected)) => {
+                    context.pool.checkin(answer.connection);
+                    PassEnd::Answered(Response::from_parts(head, Body::from(collected.to_bytes())))
+                }
+                Ok(Err(_)) | Err(_) => PassEnd::Lost,
+            }
+        }
+    }
+}
+
+fn head(
+    context: &EntryContext,
+    plan: &RequestPlan,
+    key: &str,
+    left: Duration,
+) -> Option<Request<()>> {
+    let target = format!("/{}{}", plan.service, plan.uri);
+    let mut request = Request::new(());
+    *request.method_mut() = plan.method.clone();
+    *request.uri_mut() = target.parse::<Uri>().ok()?;
+    plan.headers.clone_into(request.headers_mut());
+    let headers = request.headers_mut();
+    let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(DEADLINE_HEADER, HeaderValue::from(millis));
+    let code = context.keys.sign(&[b"pass-on", target.as_bytes(), key.as_bytes()]);
+    let text: String = code.iter().map(|byte| format!("{byte:02x}")).collect();
+    headers.insert(PASSED_HEADER, HeaderValue::from_str(&text).ok()?);
+    Some(request)
+}
+
+fn decode_hex(text: &[u8]) -> Option<Vec<u8>> {
+    let digit = |byte: u8| char::from(byte).to_digit(16).and_then(|value| u8::try_from(value).ok());
+    if !text.len().is_multiple_of(2) {
+        return None;
+    }
+    text.chunks_exact(2).map(|pair| Some(digit(pair[0])? << 4 | digit(pair[1])?)).collect()
+}
--- /dev/null
+++ b/crates/jackdawmux_entry/src/request/plan.rs
@@ -0,0 +1,146 @@
+//! What is known of a request once its head has been read.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use axum::http::request::Parts;
+use axum::http::{HeaderMap, HeaderName, Uri};
+use jackdawmux_policy::clock::PolicyTime;
+use jackdawmux_policy::outcome::{RefusalReason, RequestRefusal};
+use jackdawmux_policy::table::{OperationSpec, RepeatRule, RequestPriority};
+
+use crate::process::EntryContext;
+use crate::version::ForceState;
+
+/// Header with the time left to a request's deadline, in milliseconds.
+pub(crate) const DEADLINE_HEADER: &str = "jackdaw-deadline-ms";
+/// Pause suggested while no configuration is in force.
+const NO_CONFIG_PAUSE: Duration = Duration::from_secs(1);
+/// Headers that concern one connection only.
+const HOP_HEADERS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// A routed request.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestPlan {
+    pub(crate) service: Arc<str>,
+    pub(crate) method: axum::http::Method,
+    /// Path and query as the upstream sees them.
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) operation: OperationSpec,
+    pub(crate) deadline: PolicyTime,
+    /// Callers' address block, by which shifts choose.
+    pub(crate) block: Vec<u8>,
+}
+
+impl RequestPlan {
+    /// Routes a request by its head.
+    pub(crate) fn open(
+        context: &EntryContext,
+        parts: Parts,
+        caller: SocketAddr,
+    ) -> Result<Self, RequestRefusal> {
+        let force: Arc<ForceState> = context.force.borrow().clone().ok_or_else(|| {
+            RequestRefusal::later(RefusalReason::NoConfiguration, NO_CONFIG_PAUSE)
+        })?;
+        check_framing(&parts.headers)?;
+        let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
+        let (name, rest) = split_service(target).ok_or(no_route())?;
+        let service = force.table.service(name).ok_or(no_route())?;
+        let uri: Uri = rest.parse().map_err(|_unreadable| no_route())?;
+        let operation =
+            service.operation(parts.method.as_str(), uri.path()).ok_or(no_route())?.clone();
+        let timeout = read_deadline(&parts.headers)?
+            .map_or(operation.timeout, |asked| asked.min(operation.timeout));
+        Ok(Self {
+            service: Arc::from(name),
+            method: parts.method,
+            uri,
+            headers: strip_hop_headers(parts.headers),
+            operation,
+            deadline: context.clock.now() + timeout,
+            block: block_of(caller.ip()),
+        })
+    }
+
+    pub(crate) fn is_once(&self) -> bool {
+        self.operation.repeat == RepeatRule::Once
+    }
+
+    /// Whether the request may serve to find out if a suspended endpoint works again.
+    pub(crate) fn may_probe(&self) -> bool {
+        !self.is_once() && self.operation.priority == RequestPriority::Low
+    }
+}
+
+fn no_route() -> RequestRefusal {
+    RequestRefusal::never(RefusalReason::NoRoute)
+}
+
+/// Splits `/SERVICE/PATH` into the service and `/PATH`.
+fn split_service(target: &str) -> Option<(&str, String)> {
+    let target = target.strip_prefix('/')?;
+    let end = target.find(['/', '?']).unwrap_or(target.len());
+    let (name, rest) = target.split_at(end);
+    let rest = if rest.starts_with('/') { rest.to_owned() } else { format!("/{rest}") };
+    (!name.is_empty()).then_some((name, rest))
+}
+
+/// Refuses messages whose length two readers could understand differently.
+fn check_framing(headers: &HeaderMap) -> Result<(), RequestRefusal> {
+    let lengths: Vec<_> = headers.get_all(CONTENT_LENGTH).iter().collect();
+    let is_chunked = headers.contains_key(TRANSFER_ENCODING);
+    let differs = lengths.windows(2).any(|pair| pair[0] != pair[1]);
+    if differs || lengths.len() > 1 || (is_chunked && !lengths.is_empty()) {
+        return Err(RequestRefusal::never(RefusalReason::BadRequest));
+    }
+    Ok(())
+}
+
+fn read_deadline(headers: &HeaderMap) -> Result<Option<Duration>, RequestRefusal> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else {
+        return Ok(None);
+    };
+    let millis = value.to_str().ok().and_then(|text| text.trim().parse::<u64>().ok());
+    match millis {
+        Some(0) => Err(RequestRefusal::never(RefusalReason::DeadlinePassed)),
+        Some(millis) => Ok(Some(Duration::from_millis(millis))),
+        None => Err(RequestRefusal::never(RefusalReason::BadRequest)),
+    }
+}
+
+/// Removes headers that concern one connection only, also those that `Connection` names.
+pub(crate) fn strip_hop_headers(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all("connection")
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP_HEADERS {
+        headers.remove(name);
+    }
+    headers
+}
+
+fn block_of(address: IpAddr) -> Vec<u8> {
+    match address {
+        IpAddr::V4(address) => address.octets()[..3].to_vec(),
+        IpAddr::V6(address) => address.octets()[..6].to_vec(),
+    }
+}
--- /dev/null
+++ b/crates/jackdawmux_entry/src/request/refusal.rs
@@ -0,0 +1,88 @@
+//! Refusals as JSON problems (RFC 9457) with the outcome and the time to come back.
+
+use axum::body::Body;
+use axum::http::header::{CONTENT_TYPE, RETRY_AFTER};
+use axum::http::{HeaderValue, Response, StatusCode};
+use jackdawmux_policy::outcome::{RefusalReason, RequestRefusal, RunOutcome};
+use serde_json::json;
+
+/// Header that tells whether a request took effect.
+pub(crate) const OUTCOME_HEADER: &str = "jackdaw-outcome";
+
+/// Builds the final answer of a request that was given up on.
+pub(crate) fn refusal_response(outcome: RunOutcome, refusal: RequestRefusal) -> Response<Body> {
+    let status = status_of(refusal.reason, outcome);
+    let retry_ms = refusal.retry_after.map(|pause| pause.as_millis());
+    let problem = json!({
+        "type": format!("urn:jackdawmux:{}", refusal.reason),
+        "title": title_of(refusal.reason),
+        "status": status.as_u16(),
+        "outcome": outcome.as_ref(),
+        "retry_after_ms": retry_ms,
+    });
+    let mut response = Response::new(Body::from(problem.to_string()));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+    set_outcome(headers, outcome);
+    if let Some(pause) = refusal.retry_after {
+        // Whole seconds, rounded up: coming back early would be in vain.
+        let seconds = u64::try_from(pause.as_millis().div_ceil(1_000)).unwrap_or(u64::MAX);
+        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
+/// Sets the outcome header.
+pub(crate) fn set_outcome(headers: &mut axum::http::HeaderMap, outcome: RunOutcome) {
+    let value = match outcome {
+        RunOutcome::NotRun => HeaderValue::from_static("not-run"),
+        RunOutcome::Ran => HeaderValue::from_static("ran"),
+        RunOutcome::Unknown => HeaderValue::from_static("unknown"),
+    };
+    headers.insert(OUTCOME_HEADER, value);
+}
+
+fn status_of(reason: RefusalReason, outcome: RunOutcome) -> StatusCode {
+    match reason {
+        RefusalReason::NoConfiguration
+        | RefusalReason::NoUpstream
+        | RefusalReason::Overloaded
+        | RefusalReason::ClaimUnavailable
+        | RefusalReason::UpstreamRefused
+        | RefusalReason::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+        RefusalReason::NoRoute => StatusCode::NOT_FOUND,
+        RefusalReason::BadRequest | RefusalReason::KeyMissing => StatusCode::BAD_REQUEST,
+        RefusalReason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        RefusalReason::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+        RefusalReason::KeyExpired => StatusCode::GONE,
+        RefusalReason::KeyInUse => StatusCode::CONFLICT,
+        RefusalReason::Poisonous => StatusCode::UNPROCESSABLE_ENTITY,
+        RefusalReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+        RefusalReason::UpstreamLost => match outcome {
+            RunOutcome::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            RunOutcome::Ran | RunOutcome::Unknown => StatusCode::BAD_GATEWAY,
+        },
+    }
+}
+
+const fn title_of(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::NoConfiguration => "no configuration is in force yet",
+        RefusalReason::NoRoute => "no such service or operation",
+        RefusalReason::BadRequest => "the request is malformed or breaks a limit",
+        RefusalReason::BodyTooLarge => "the request body is too large",
+        RefusalReason::BodyTooSlow => "the request body came too slowly",
+        RefusalReason::KeyMissing => "this operation needs an Idempotency-Key",
+        RefusalReason::KeyExpired => "the idempotency key is forged or past its retention",
+        RefusalReason::KeyInUse => "a request with this idempotency key may have run",
+        RefusalReason::ClaimUnavailable => "the idempotency key could not be claimed",
+        RefusalReason::NoUpstream => "no upstream may be used now",
+        RefusalReason::Overloaded => "all capacity is in use",
+        RefusalReason::DeadlinePassed => "the deadline passed",
+        RefusalReason::Poisonous => "this request has brought down upstreams",
+        RefusalReason::UpstreamRefused => "the upstream refused",
+        RefusalReason::UpstreamLost => "the upstream gave no whole answer",
+        RefusalReason::Leaving => "this instance is leaving",
+    }
+}
--- /dev/null
+++ b/crates/jackdawmux_entry/src/request/router.rs
@@ -0,0 +1,81 @@
+//! Routes of the address for callers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::{ConnectInfo, State};
+use axum::http::header::CONNECTION;
+use axum::http::{HeaderValue, Request, Response};
+use axum::routing::{get, post};
+use jackdawmux_policy::outcome::{RequestRefusal, RunOutcome};
+
+use super::body::RequestBody;
+use super::forward::forward;
+use super::lookup::is_usable_here;
+use super::once::{OnceRequest, run_once};
+use super::pass_on::is_passed_on;
+use super::plan::RequestPlan;
+use super::refusal::{OUTCOME_HEADER, refusal_response};
+use super::{admin, lookup};
+use crate::process::EntryContext;
+
+/// Builds the router of one instance.
+pub(crate) fn build_router(context: Arc<EntryContext>) -> Router {
+    Router::new()
+        .route("/v1/entries", get(lookup::name_entries))
+        .route("/v1/tickets", post(lookup::give_tickets))
+        .route("/v1/status", get(admin::read_status))
+        .route("/v1/events", get(admin::read_events))
+        .route("/v1/config", get(admin::read_config))
+        .route("/metrics", get(admin::read_metrics))
+        .fallback(serve_request)
+        .with_state(context)
+}
+
+/// `ANY /SERVICE/PATH`
+async fn serve_request(
+    State(context): State<Arc<EntryContext>>,
+    ConnectInfo(caller): ConnectInfo<SocketAddr>,
+    request: Request<Body>,
+) -> Response<Body> {
+    let begun = context.clock.now();
+    let service = request.uri().path().split('/').nth(1).unwrap_or_default().to_owned();
+    let mut response = match answer(&context, caller, request).await {
+        Ok(response) => response,
+        Err(refusal) => refusal_response(RunOutcome::NotRun, refusal),
+    };
+    let is_known = context
+        .force
+        .borrow()
+        .as_ref()
+        .is_some_and(|force| force.table.service(&service).is_some());
+    let label = if is_known { service.as_str() } else { "none" };
+    let outcome = response.headers().get(OUTCOME_HEADER).and_then(|value| value.to_str().ok());
+    let latency = context.clock.now().since(begun);
+    context.metrics.count_request(label, outcome.unwrap_or("unknown"), latency);
+    if !is_usable_here(&context) {
+        // A leaving instance asks its callers to open no further request on this connection.
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn answer(
+    context: &Arc<EntryContext>,
+    caller: SocketAddr,
+    request: Request<Body>,
+) -> Result<Response<Body>, RequestRefusal> {
+    let (parts, body) = request.into_parts();
+    let target = parts.uri.path_and_query().map(ToString::to_string).unwrap_or_default();
+    let is_passed_on = is_passed_on(&context.keys, &parts.headers, &target);
+    let key = parts.headers.get("idempotency-key").cloned();
+    let plan = RequestPlan::open(context, parts, caller)?;
+    let body = RequestBody::open(body, context.settings.max_body_bytes).await?;
+    if !plan.is_once() {
+        return Ok(forward(context, &plan, body, None).await.into_response());
+    }
+    let key = key.and_then(|value| value.to_str().map(str::to_owned).ok()).unwrap_or_default();
+    Ok(run_once(context, OnceRequest { plan, body, key, is_passed_on }).await)
+}
--- /dev/null
+++ b/crates/jackdawmux_entry/src/request/shift.rs
@@ -0,0 +1,35 @@
+//! Which region serves a request under the accepted shifts.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+
+use jackdawmux_policy::shift::ShiftCounter;
+use jackdawmux_policy::table::RouteTable;
+
+/// Counts of moved requests, by service and region left.
+#[derive(Debug, Default)]
+pub struct ShiftDesk {
+    counters: Mutex<HashMap<(String, String), ShiftCounter>>,
+}
+
+impl ShiftDesk {
+    /// The region that should serve a request which arrived in region `local`.
+    pub fn region_for(
+        &self,
+        table: &RouteTable,
+        service: &str,
+        local: &str,
+        block: &[u8],
+        unix_ms: u64,
+    ) -> String {
+        let plan = table.shifts.iter().find(|plan| plan.service == service && plan.from == local);
+        let Some(plan) = plan else {
+            return local.to_owned();
+        };
+        let wants_move = plan.moves_block(block, unix_ms);
+        let mut counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
+        let counter = counters.entry((service.to_owned(), local.to_owned())).or_default();
+        let moves = counter.admit(wants_move, plan.fraction_at(unix_ms));
+        if moves { plan.to.clone() } else { local.to_owned() }
+    }
+}
--- /dev/null
+++ b/crates/jackdawmux_entry/src/version/config.rs
@@ -0,0 +1,120 @@
+//! The configuration in force: only ever replaced by a higher version.
+
+use std::sync::Arc;
+
+use jackdawmux_peer::ConfigContent;
+use jackdawmux_platform::digest_of;
+use jackdawmux_policy::table::RouteTable;
+use jackdawmux_policy::version::{VersionGate, VersionVerdict};
+use jackdawmux_rules::parse_rules;
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::{Context, Message};
+use tokio::sync::watch;
+
+use crate::process::{EventLog, ProcessClock};
+
+/// One version in force.
+#[derive(Debug)]
+pub struct ForceState {
+    /// Version, digest and rules.
+    pub content: Arc<ConfigContent>,
+    /// The compiled rules.
+    pub table: Arc<RouteTable>,
+    /// Since when, in Unix milliseconds.
+    pub since_ms: u64,
+}
+
+/// Offers a version, from whatever source.
+#[derive(Debug)]
+pub(crate) struct OfferConfig {
+    /// The version.
+    pub(crate) content: ConfigContent,
+    /// Where it came from, for the time line.
+    pub(crate) source: String,
+}
+
+/// Parts of the actor.
+#[derive(Debug)]
+pub(crate) struct ConfigParts {
+    pub(crate) events: Arc<EventLog>,
+    pub(crate) clock: ProcessClock,
+    pub(crate) force: watch::Sender<Option<Arc<ForceState>>>,
+}
+
+/// Judges offers and puts newer versions in force.
+#[derive(Debug)]
+pub(crate) struct ConfigActor {
+    parts: ConfigParts,
+    gate: VersionGate,
+}
+
+impl Actor for ConfigActor {
+    type Args = ConfigParts;
+    type Error = std::convert::Infallible;
+
+    async fn on_start(parts: ConfigParts, _: ActorRef<Self>) -> Result<Self, Self::Error> {
+        Ok(Self { parts, gate: VersionGate::default() })
+    }
+}
+
+impl ConfigActor {
+    fn take(&mut self, offer: OfferConfig) {
+        let OfferConfig { content, source } = offer;
+        match self.gate.judge(content.version, &content.digest) {
+            VersionVerdict::Newer => self.put_in_force(content, &source),
+            VersionVerdict::Same => {}
+            verdict @ (VersionVerdict::Older | VersionVerdict::Conflicting) => {
+                let in_force = self.gate.version();
+                self.parts.events.record(
+                    "config-refused",
+                    &[
+                        ("verdict", &verdict),
+                        ("offered", &content.version),
+                        ("in_force", &in_force),
+                        ("source", &source),
+                    ],
+                );
+            }
+        }
+    }
+
+    fn put_in_force(&mut self, content: ConfigContent, source: &str) {
+        if digest_of(content.rules.as_bytes()) != content.digest {
+            self.refuse(content.version, source, "the content does not match its digest");
+            return;
+        }
+        let Ok(file) = parse_rules("accepted", content.rules.as_bytes()) else {
+            self.refuse(content.version, source, "the rules do not parse");
+            return;
+        };
+        let table = Arc::new(file.compile());
+        self.gate.advance(content.version, &content.digest);
+        self.parts.events.record(
+            "config-in-force",
+            &[
+                ("version", &content.version),
+                ("digest", &&content.digest[..12]),
+                ("source", &source),
+            ],
+        );
+        let since_ms = self.parts.clock.wall_ms();
+        let state = ForceState { content: Arc::new(content), table, since_ms };
+        self.parts.force.send_replace(Some(Arc::new(state)));
+    }
+
+    fn refuse(&self, version: u64, source: &str, reason: &str) {
+        self.parts.events.record(
+            "config-unusable",
+            &[("version", &version), ("source", &source), ("reason", &reason)],
+        );
+    }
+}
+
+impl Message<OfferConfig> for ConfigActor {
+    type Reply = ();
+
+    async fn handle(&mut self, offer: OfferConfig, _: &mut Context<Self, ()>) {
+        self.take(offer);
+    }
+}
--- /dev/null
+++ b/crates/jackdawmux_entry/src/version/mod.rs
@@ -0,0 +1,8 @@
+//! What lives as long as one version of the configuration.
+
+mod config;
+mod spread;
+
+pub use config::ForceState;
+pub(crate) use config::{ConfigActor, ConfigParts, OfferConfig};
+pub(crate) use spread::{HeadWatch, watch_head};
--- /dev/null
+++ b/crates/jackdawmux_entry/src/version/spread.rs
@@ -0,0 +1,90 @@
+//! Watches the head object in the store and offers what it names.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use jackdawmux_peer::ConfigContent;
+use jackdawmux_platform::{
+    HEAD_KEY, ObjectStore, PlatformError, StoredObject, decode_head, read_rules,
+};
+use kameo::actor::ActorRef;
+use tokio::sync::watch;
+
+use super::config::{ConfigActor, ForceState, OfferConfig};
+use crate::process::EventLog;
+
+/// Longest wait of one watch.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Pause after a failed call.
+const FAILED_PAUSE: Duration = Duration::from_millis(300);
+
+/// Parts of the watcher.
+#[derive(Debug)]
+pub(crate) struct HeadWatch {
+    pub(crate) store: Arc<dyn ObjectStore>,
+    pub(crate) config: ActorRef<ConfigActor>,
+    pub(crate) force: watch::Receiver<Option<Arc<ForceState>>>,
+    pub(crate) events: Arc<EventLog>,
+}
+
+/// Watches the head for as long as the config actor lives.
+pub(crate) async fn watch_head(parts: HeadWatch) {
+    let mut seen = None;
+    while parts.config.is_alive() {
+        let answer = match seen {
+            // A plain read shows whatever there is, also an object older than before.
+            None => parts.store.read(HEAD_KEY).await.map(Some),
+            Some(version) => {
+                let newer = parts.store.watch(HEAD_KEY, version, WATCH_WAIT).await;
+                newer.map(|object| object.map(Some))
+            }
+        };
+        let taken = match answer {
+            Ok(Some(Some(object))) => parts.take(&object).await.map(Some),
+            Ok(Some(None)) => Ok(Some(0)),
+            Ok(None) => Ok(None),
+            Err(error) => Err(error),
+        };
+        match taken {
+            Ok(version) => seen = version,
+            Err(error) => {
+                log::debug!("event=config-watch-failed {error}");
+                seen = None;
+                let jitter = rand::random_range(0.5..1.5);
+                tokio::time::sleep(FAILED_PAUSE.mul_f64(jitter)).await;
+            }
+        }
+    }
+}
+
+impl HeadWatch {
+    fn in_force(&self) -> u64 {
+        self.force.borrow().as_ref().map_or(0, |state| state.content.version)
+    }
+
+    async fn take(&self, object: &StoredObject) -> Result<u64, PlatformError> {
+        let stored = decode_head(object.version, &object.content)?;
+        let accept = &stored.head.accept;
+        let in_force = self.in_force();
+        if accept.version < in_force {
+            self.events.record(
+                "alarm-store-older",
+                &[("stored", &accept.version), ("in_force", &in_force)],
+            );
+            return Ok(object.version);
+        }
+        if accept.version > in_force {
+            let rules = read_rules(self.store.as_ref(), &stored.head).await?;
+            let content = ConfigContent {
+                version: accept.version,
+                digest: accept.digest.clone(),
+                rules: String::from_utf8_lossy(&rules).into_owned(),
+            };
+            let offer = OfferConfig { content, source: "store".to_owned() };
+            if self.config.tell(offer).await.is_err() {
+                log::debug!("event=config-offer-dropped source=store");
+            }
+        }
+        Ok(object.version)
+    }
+}
--- /dev/null
+++ b/crates/jackdawmux_entry/tests/support/mod.rs
@@ -0,0 +1,381 @@
+//! A whole system as separate processes: store, upstreams and entries.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
+
+use reqwest::Client;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+use tokio::time::{Instant, sleep};
+
+/// Longest wait for an expected state.
+pub const WAIT_LONGEST: Duration = Duration::from_secs(30);
+/// Pause between looks at a state.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+const PEER_KEY: &str = "a key only for the tests";
+
+/// Directory of the built programs.
+fn build_directory() -> PathBuf {
+    let mut path = std::env::current_exe().expect("the test's own path");
+    path.pop();
+    path.pop();
+    path
+}
+
+fn example(name: &str) -> PathBuf {
+    let path = build_directory().join("examples").join(name);
+    assert!(path.exists(), "{} is not built; run `cargo test --workspace`", path.display());
+    path
+}
+
+/// A child process that is killed with its handle.
+pub struct ChildProcess {
+    child: Child,
+    pub address: SocketAddr,
+    pub peer_address: Option<SocketAddr>,
+}
+
+impl ChildProcess {
+    pub fn spawn(command: &mut Command) -> Self {
+        let mut child = command
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        let output = child.stdout.take().expect("standard output is piped");
+        let mut line = String::new();
+        BufReader::new(output).read_line(&mut line).expect("the program prints its address");
+        let field = |name: &str| {
+            let word = line.split_whitespace().find_map(|word| word.strip_prefix(name));
+            word.and_then(|text| text.parse().ok())
+        };
+        let address = field("address=").unwrap_or_else(|| panic!("no address in {line:?}"));
+        Self { child, address, peer_address: field("peer=") }
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).expect("a process id");
+        kill_process(Pid::from_raw(pid).expect("a process id"), signal).expect("the signal");
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the kill");
+        self.child.wait().expect("the end");
+    }
+
+    pub async fn wait_end(&mut self) -> bool {
+        let deadline = Instant::now() + WAIT_LONGEST;
+        while Instant::now() < deadline {
+            if let Some(status) = self.child.try_wait().expect("the state") {
+                return status.success();
+            }
+            sleep(LOOK_PAUSE).await;
+        }
+        false
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        // It may have ended already.
+        if self.child.kill().is_ok() {
+            let _status = self.child.wait();
+        }
+    }
+}
+
+/// Size of a test system.
+#[derive(Clone, Copy)]
+pub struct SystemSize {
+    pub entries: usize,
+    pub endpoints: usize,
+    pub slots: u32,
+    pub service_ms: u32,
+}
+
+/// Store, upstreams and entries, each a process.
+pub struct TestSystem {
+    pub store: ChildProcess,
+    pub upstreams: Vec<ChildProcess>,
+    pub entries: Vec<ChildProcess>,
+    pub client: Client,
+    names: BTreeMap<String, String>,
+    directory: PathBuf,
+}
+
+pub const DOMAINS: [&str; 6] = ["north-a", "north-b", "mid-a", "mid-b", "south-a", "south-b"];
+
+impl TestSystem {
+    /// Starts everything, accepts the rules and waits until they are in force and every endpoint
+    /// has an owner.
+    pub async fn start(name: &str, size: SystemSize) -> Self {
+        let mut system = Self::start_bare(name, size);
+        let rules = system.rules(size);
+        system.accept(&rules, &[]);
+        system.wait_settled(size.endpoints).await;
+        system
+    }
+
+    pub fn start_bare(name: &str, size: SystemSize) -> Self {
+        let directory =
+            std::env::temp_dir().join(format!("jackdawmux-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&directory).expect("a directory for rules files");
+        let store = ChildProcess::spawn(&mut Command::new(example("store")));
+        let upstreams = (0..size.endpoints)
+            .map(|index| {
+                let mut command = Command::new(example("upstream"));
+                command.arg("--slots").arg(size.slots.to_string());
+                command.arg("--service-ms").arg(size.service_ms.to_string());
+                command.arg("--seed").arg(index.to_string());
+                ChildProcess::spawn(&mut command)
+            })
+            .collect();
+        let client = Client::builder().no_proxy().timeout(Duration::from_secs(20)).build();
+        let client = client.expect("an HTTP client");
+        let names = BTreeMap::new();
+        let mut system = Self { store, upstreams, entries: Vec::new(), client, names, directory };
+        for index in 0..size.entries {
+            let entry = system.spawn_entry(index, &[]);
+            system.entries.push(entry);
+        }
+        system.name_addresses();
+        system
+    }
+
+    pub fn spawn_entry(&self, index: usize, extra: &[String]) -> ChildProcess {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_jackdawmux"));
+        command
+            .env("JACKDAWMUX_STORE", format!("http://{}", self.store.address))
+            .env("JACKDAWMUX_PEER_KEY", PEER_KEY)
+            .args(["--instance", &format!("entry-{index}")])
+            .args(["--failure-domain", DOMAINS[index % DOMAINS.len()]])
+            .args(["--lookup-ttl-ms", "300", "--lease-ms", "1500"])
+            .args(extra);
+        ChildProcess::spawn(&mut command)
+    }
+
+    fn name_addresses(&mut self) {
+        self.names.insert(self.store.address.to_string(), "<store>".to_owned());
+        for (index, upstream) in self.upstreams.iter().enumerate() {
+            self.names.insert(upstream.address.to_string(), format!("<upstream-{index}>"));
+        }
+        for (index, entry) in self.entries.iter().enumerate() {
+            self.names.insert(entry.address.to_string(), format!("<entry-{index}>"));
+        }
+    }
+
+    /// Replaces addresses by names, so that golden files are equal on every run.
+    pub fn redact(&self, text: &str) -> String {
+        let mut text = text.to_owned();
+        for (address, name) in &self.names {
+            text = text.replace(address, name);
+        }
+        text
+    }
+
+    pub fn rules(&self, size: SystemSize) -> String {
+        let mut text = String::from(
+            "region north domains north-a,north-b  # platform team: sites of today\n\
+             region mid domains mid-a,mid-b  # platform team: sites of today\n\
+             region south domains south-a,south-b  # platform team: sites of today\n\
+             link north mid bandwidth 4000Mbit/s delay 1ms  # network team: contract\n",
+        );
+        for (index, upstream) in self.upstreams.iter().enumerate() {
+            let _ = writeln!(
+                text,
+                "upstream ledger {} domain {} slots {} connections 400  # platform team: sizes",
+                upstream.address,
+                DOMAINS[index % DOMAINS.len()],
+                size.slots
+            );
+        }
+        text.push_str(
+            "operation ledger GET /balance priority low timeout 3s  # counter team: lookups\n\
+             operation ledger POST /refunds priority high once timeout 3s  # counter team: refunds\n",
+        );
+        text
+    }
+
+    pub fn write_rules(&self, name: &str, rules: &str) -> PathBuf {
+        let path = self.directory.join(name);
+        std::fs::write(&path, rules).expect("the rules file");
+        path
+    }
+
+    /// Runs `jackdawctl`.
+    pub fn ctl(&self, arguments: &[&str]) -> Output {
+        let path = build_directory().join("jackdawctl");
+        assert!(path.exists(), "jackdawctl is not built; run `cargo test --workspace`");
+        Command::new(path)
+            .env("JACKDAWMUX_STORE", format!("http://{}", self.store.address))
+            .env("JACKDAWMUX_OPERATOR", "operator")
+            .args(arguments)
+            .output()
+            .expect("jackdawctl runs")
+    }
+
+    pub fn accept(&self, rules: &str, extra: &[&str]) -> Output {
+        let path = self.write_rules("accept.rules", rules);
+        let path = path.display().to_string();
+        let arguments: Vec<&str> = ["accept"].into_iter().chain(extra.iter().copied()).collect();
+        let output = self.ctl(&[&arguments[..], &[path.as_str()]].concat());
+        assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+        output
+    }
+
+    pub async fn status(&self, entry: usize) -> Option<Value> {
+        let url = format!("http://{}/v1/status", self.entries[entry].address);
+        let answer = self.client.get(url).timeout(Duration::from_secs(2)).send().await.ok()?;
+        answer.json().await.ok()
+    }
+
+    /// Waits until a condition over the states of the given entries holds.
+    pub async fn wait_for(&self, what: &str, entries: &[usize], holds: impl Fn(&[Value]) -> bool) {
+        let deadline = Instant::now() + WAIT_LONGEST;
+        let mut seen = Vec::new();
+        while Instant::now() < deadline {
+            seen.clear();
+            for entry in entries {
+                seen.push(self.status(*entry).await.unwrap_or_default());
+            }
+            if holds(&seen) {
+                return;
+            }
+            sleep(LOOK_PAUSE).await;
+        }
+        panic!("not reached: {what}; last seen {seen:#?}");
+    }
+
+    pub async fn wait_settled(&self, endpoints: usize) {
+        let entries: Vec<usize> = (0..self.entries.len()).collect();
+        self.wait_owned(&entries, endpoints).await;
+    }
+
+    /// Waits until the given entries together own all endpoints and hold their leases.
+    pub async fn wait_owned(&self, entries: &[usize], endpoints: usize) {
+        self.wait_for("all endpoints owned under leases", entries, |states| {
+            let owned: usize = states.iter().map(owned_endpoints).sum();
+            let is_leased = states.iter().all(|state| {
+                let steering = &state["steering"];
+                let left = &steering["lease_left_ms"];
+                steering["is_member"] == true && (left.is_null() || left.as_u64() > Some(0))
+            });
+            owned == endpoints && is_leased
+        })
+        .await;
+    }
+
+    pub async fn wait_version(&self, entries: &[usize], version: u64) {
+        self.wait_for("version in force", entries, |states| {
+            states.iter().all(|state| state["config_version"].as_u64() >= Some(version))
+        })
+        .await;
+    }
+
+    pub async fn get(&self, entry: usize, path: &str) -> (u16, String, String) {
+        let url = format!("http://{}{path}", self.entries[entry].address);
+        read_answer(self.client.get(url).send().await).await
+    }
+
+    pub async fn refund(&self, entry: usize, key: &str, body: &str) -> (u16, String, String) {
+        self.refund_at(self.entries[entry].address, key, body).await
+    }
+
+    pub async fn refund_at(
+        &self,
+        address: SocketAddr,
+        key: &str,
+        body: &str,
+    ) -> (u16, String, String) {
+        let url = format!("http://{address}/ledger/refunds");
+        let request = self.client.post(url).header("idempotency-key", key).body(body.to_owned());
+        read_answer(request.send().await).await
+    }
+
+    pub async fn ticket(&self, entry: usize) -> String {
+        let url = format!("http://{}/v1/tickets?service=ledger", self.entries[entry].address);
+        let answer: Value =
+            self.client.post(url).send().await.expect("tickets").json().await.expect("tickets");
+        answer["tickets"][0].as_str().expect("a ticket").to_owned()
+    }
+
+    pub async fn upstream_counts(&self) -> Vec<Value> {
+        let mut counts = Vec::new();
+        for upstream in &self.upstreams {
+            let url = format!("http://{}/standin/counts", upstream.address);
+            if let Ok(answer) = self.client.get(url).send().await {
+                counts.push(answer.json().await.expect("counts"));
+            }
+        }
+        counts
+    }
+
+    /// How often each key ran, over all upstreams.
+    pub async fn runs_by_key(&self) -> BTreeMap<String, u64> {
+        let mut runs = BTreeMap::new();
+        for count in self.upstream_counts().await {
+            for (key, value) in count["runs_by_key"].as_object().expect("a map") {
+                *runs.entry(key.clone()).or_default() += value.as_u64().expect("a count");
+            }
+        }
+        runs
+    }
+
+    /// Times at which an endpoint was asked to run more than its slots.
+    pub async fn overloads(&self) -> u64 {
+        let counts = self.upstream_counts().await;
+        counts.iter().filter_map(|count| count["overloads"].as_u64()).sum()
+    }
+
+    pub async fn store_faults(&self, faults: &str) {
+        let url = format!("http://{}/standin/faults", self.store.address);
+        let request = self.client.post(url).header("content-type", "application/json");
+        let answer = request.body(faults.to_owned()).send().await.expect("the store");
+        assert!(answer.status().is_success());
+    }
+
+    pub async fn upstream_settings(&self, upstream: usize, settings: &str) {
+        let url = format!("http://{}/standin/settings", self.upstreams[upstream].address);
+        let request = self.client.post(url).header("content-type", "application/json");
+        let answer = request.body(settings.to_owned()).send().await.expect("the upstream");
+        assert!(answer.status().is_success());
+    }
+}
+
+impl Drop for TestSystem {
+    fn drop(&mut self) {
+        // What is left behind is only a few small files.
+        let _removed = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+pub fn owned_endpoints(state: &Value) -> usize {
+    let services = state["steering"]["services"].as_array();
+    services
+        .into_iter()
+        .flatten()
+        .map(|service| service["endpoints"].as_array().map_or(0, Vec::len))
+        .sum()
+}
+
+async fn read_answer(answer: Result<reqwest::Response, reqwest::Error>) -> (u16, String, String) {
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(error) => return (0, "error".to_owned(), error.to_string()),
+    };
+    let status = answer.status().as_u16();
+    let outcome = answer.headers().get("jackdaw-outcome").cloned();
+    let outcome = outcome.and_then(|value| value.to_str().map(str::to_owned).ok());
+    let replayed = answer.headers().contains_key("jackdaw-replayed");
+    let mut outcome = outcome.unwrap_or_else(|| "none".to_owned());
+    if replayed {
+        outcome.push_str(" replayed");
+    }
+    (status, outcome, answer.text().await.unwrap_or_else(|error| error.to_string()))
+}
--- /dev/null
+++ b/crates/jackdawmux_peer/src/frame.rs
@@ -0,0 +1,41 @@
+//! Frames that pass between instances.
+
+use jackdawmux_policy::hlc::HybridStamp;
+use jackdawmux_policy::message::SteeringMessage;
+use serde::{Deserialize, Serialize};
+use strum::AsRefStr;
+
+/// One accepted version of the rules with its origin.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigContent {
+    /// Version of the configuration.
+    pub version: u64,
+    /// SHA-256 of the rules, in hexadecimal.
+    pub digest: String,
+    /// The rules file.
+    pub rules: String,
+}
+
+/// What a frame carries.
+#[derive(Clone, Debug, PartialEq, Eq, AsRefStr, Serialize, Deserialize)]
+#[strum(serialize_all = "kebab-case")]
+pub enum FrameBody {
+    /// A message between the steering states of two instances.
+    Steering(SteeringMessage),
+    /// Asks for the configuration if it is above a version.
+    ConfigAsk {
+        /// Version in force at the sender.
+        have: u64,
+    },
+    /// Offers a version of the configuration.
+    ConfigOffer(ConfigContent),
+}
+
+/// One frame between instances.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerFrame {
+    /// The sender's hybrid clock.
+    pub stamp: HybridStamp,
+    /// The content.
+    pub body: FrameBody,
+}
--- /dev/null
+++ b/crates/jackdawmux_peer/src/handshake.rs
@@ -0,0 +1,180 @@
+//! Proof, at the start of a link, that both ends hold a shared key.
+//!
+//! The accepting end sends a nonce; the dialling end answers with its identity, a nonce of its
+//! own and an authentication code over all of it; the accepting end proves itself in turn.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use hmac::{Hmac, KeyInit, Mac};
+use jackdawmux_policy::identity::IncarnationId;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+use snafu::{OptionExt, ResultExt, ensure};
+use tokio::net::TcpStream;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message;
+
+use crate::error::{ChannelSnafu, MalformedSnafu, PeerError, RefusedSnafu};
+
+/// Longest time for a handshake.
+pub(crate) const HANDSHAKE_LONGEST: Duration = Duration::from_secs(2);
+/// Version of the frames' encoding.
+const PROTOCOL_VERSION: u32 = 1;
+
+/// Shared keys; the first signs, all are accepted.
+#[derive(Clone)]
+pub struct PeerKeys {
+    keys: Vec<Vec<u8>>,
+}
+
+impl std::fmt::Debug for PeerKeys {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "PeerKeys({} hidden)", self.keys.len())
+    }
+}
+
+impl PeerKeys {
+    /// Keys in order of preference; an empty list becomes a single empty key.
+    #[must_use]
+    pub fn new(keys: &[String]) -> Self {
+        let mut keys: Vec<Vec<u8>> = keys.iter().map(|key| key.as_bytes().to_vec()).collect();
+        if keys.is_empty() {
+            keys.push(Vec::new());
+        }
+        Self { keys }
+    }
+
+    /// Signs the parts under the first key.
+    #[must_use]
+    pub fn sign(&self, parts: &[&[u8]]) -> [u8; 32] {
+        keyed(&self.keys[0], parts).finalize().into_bytes().into()
+    }
+
+    /// Whether a code over the parts was made under any of the keys.
+    #[must_use]
+    pub fn verify(&self, parts: &[&[u8]], code: &[u8]) -> bool {
+        self.keys.iter().any(|key| keyed(key, parts).verify_slice(code).is_ok())
+    }
+}
+
+fn keyed(key: &[u8], parts: &[&[u8]]) -> Hmac<Sha256> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("HMAC takes keys of any length");
+    for part in parts {
+        // Length first, so that no two lists of parts read the same.
+        mac.update(&(part.len() as u64).to_be_bytes());
+        mac.update(part);
+    }
+    mac
+}
+
+/// Who an instance is, as told to its peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerIdentity {
+    /// Name from the settings.
+    pub instance: String,
+    /// The running process.
+    pub incarnation: IncarnationId,
+    /// Address for callers.
+    pub address: SocketAddr,
+    /// Address for instances.
+    pub peer_address: SocketAddr,
+    /// Failure domain.
+    pub domain: String,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Challenge {
+    protocol: u32,
+    nonce: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Introduction {
+    identity: PeerIdentity,
+    nonce: u64,
+    code: Vec<u8>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Welcome {
+    code: Vec<u8>,
+}
+
+/// Accepting end of the handshake; returns who dialled.
+pub(crate) async fn accept_peer(
+    channel: &mut WebSocketStream<TcpStream>,
+    keys: &PeerKeys,
+    peer: &str,
+) -> Result<PeerIdentity, PeerError> {
+    let challenge = Challenge { protocol: PROTOCOL_VERSION, nonce: rand::random() };
+    send(channel, &challenge, peer).await?;
+    let introduction: Introduction = receive(channel, peer).await?;
+    let identity = encode(&introduction.identity)?;
+    let nonces = [challenge.nonce.to_be_bytes(), introduction.nonce.to_be_bytes()];
+    let parts: [&[u8]; 4] = [b"dial", &nonces[0], &nonces[1], &identity];
+    ensure!(
+        keys.verify(&parts, &introduction.code),
+        RefusedSnafu { peer, reason: "the dialling end holds no accepted key" }
+    );
+    let code = keys.sign(&[b"accept", &nonces[0], &nonces[1]]).to_vec();
+    send(channel, &Welcome { code }, peer).await?;
+    Ok(introduction.identity)
+}
+
+/// Dialling end of the handshake.
+pub(crate) async fn introduce(
+    channel: &mut WebSocketStream<TcpStream>,
+    keys: &PeerKeys,
+    identity: &PeerIdentity,
+    peer: &str,
+) -> Result<(), PeerError> {
+    let challenge: Challenge = receive(channel, peer).await?;
+    ensure!(
+        challenge.protocol == PROTOCOL_VERSION,
+        RefusedSnafu { peer, reason: "the accepting end speaks another protocol version" }
+    );
+    let nonce: u64 = rand::random();
+    let nonces = [challenge.nonce.to_be_bytes(), nonce.to_be_bytes()];
+    let encoded = encode(identity)?;
+    let code = keys.sign(&[b"dial", &nonces[0], &nonces[1], &encoded]).to_vec();
+    send(channel, &Introduction { identity: identity.clone(), nonce, code }, peer).await?;
+    let welcome: Welcome = receive(channel, peer).await?;
+    let parts: [&[u8]; 3] = [b"accept", &nonces[0], &nonces[1]];
+    ensure!(
+        keys.verify(&parts, &welcome.code),
+        RefusedSnafu { peer, reason: "the accepting end holds no accepted key" }
+    );
+    Ok(())
+}
+
+fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, PeerError> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes)
+        .map_err(|error| PeerError::Malformed { reason: error.to_string() })?;
+    Ok(bytes)
+}
+
+async fn send<T: Serialize>(
+    channel: &mut WebSocketStream<TcpStream>,
+    value: &T,
+    peer: &str,
+) -> Result<(), PeerError> {
+    let message = Message::binary(encode(value)?);
+    channel.send(message).await.context(ChannelSnafu { step: "handshake", peer })
+}
+
+async fn receive<T: DeserializeOwned>(
+    channel: &mut WebSocketStream<TcpStream>,
+    peer: &str,
+) -> Result<T, PeerError> {
+    let message = channel
+        .next()
+        .await
+        .context(RefusedSnafu { peer, reason: "the link closed during the handshake" })?
+        .context(ChannelSnafu { step: "handshake", peer })?;
+    ciborium::from_reader(message.into_data().as_ref())
+        .map_err(|error| MalformedSnafu { reason: error.to_string() }.build())
+}
--- /dev/null
+++ b/crates/jackdawmux_peer/src/hub.rs
@@ -0,0 +1,189 @@
+//! All links of one instance.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use futures_util::StreamExt;
+use jackdawmux_policy::identity::IncarnationId;
+use snafu::ResultExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use tokio_tungstenite::accept_async_with_config;
+
+use crate::codec::decode_frame;
+use crate::error::{ChannelSnafu, PeerError, SocketSnafu, TimeoutSnafu};
+use crate::frame::PeerFrame;
+use crate::handshake::{HANDSHAKE_LONGEST, PeerIdentity, PeerKeys, accept_peer};
+use crate::link::{LinkContext, PeerLink, channel_config};
+
+/// A peer to keep a link to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerTarget {
+    /// The running process.
+    pub incarnation: IncarnationId,
+    /// Where it listens for instances.
+    pub address: SocketAddr,
+}
+
+/// Something that came from a peer.
+#[derive(Debug)]
+pub enum PeerEvent {
+    /// A peer dialled and proved itself.
+    Joined(PeerIdentity),
+    /// A frame of a proven peer.
+    Frame(IncarnationId, PeerFrame),
+    /// The link that a peer had dialled closed.
+    Closed(IncarnationId),
+}
+
+/// Links to and from all peers.
+#[derive(Debug)]
+pub struct PeerHub {
+    address: SocketAddr,
+    context: Arc<LinkContext>,
+    links: Mutex<HashMap<IncarnationId, PeerLink>>,
+    seeds: Mutex<Vec<PeerLink>>,
+    task: JoinHandle<()>,
+}
+
+impl PeerHub {
+    /// Takes a bound listener and accepts peers; events go to `events`, whose bound holds back
+    /// peers that send faster than this instance works.
+    ///
+    /// # Errors
+    /// When the listener has no local address.
+    pub fn spawn(
+        listener: TcpListener,
+        identity: PeerIdentity,
+        keys: PeerKeys,
+        events: mpsc::Sender<PeerEvent>,
+    ) -> Result<Self, PeerError> {
+        let address = listener.local_addr().context(SocketSnafu { step: "bind", peer: "self" })?;
+        let context = Arc::new(LinkContext { identity, keys });
+        let task = tokio::spawn(accept_all(listener, Arc::clone(&context), events));
+        Ok(Self { address, context, links: Mutex::default(), seeds: Mutex::default(), task })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Dials addresses whose processes are not known yet, so that they learn of this one.
+    pub fn seed(&self, addresses: &[SocketAddr]) {
+        let others = addresses.iter().filter(|address| **address != self.address);
+        let links = others.map(|address| PeerLink::spawn(*address, Arc::clone(&self.context)));
+        let mut seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
+        seeds.extend(links);
+    }
+
+    /// Keeps links to exactly these peers.
+    pub fn set_peers(&self, targets: &[PeerTarget]) {
+        let mut links = self.lock();
+        links.retain(|incarnation, link| {
+            targets
+                .iter()
+                .any(|target| target.incarnation == *incarnation && target.address == link.address)
+        });
+        for target in targets {
+            let context = &self.context;
+            links
+                .entry(target.incarnation)
+                .or_insert_with(|| PeerLink::spawn(target.address, Arc::clone(context)));
+        }
+    }
+
+    /// Sends a frame; false when there is no link or its queue is full.
+    pub fn send(&self, peer: IncarnationId, frame: PeerFrame) -> bool {
+        self.lock().get(&peer).is_some_and(|link| link.send(frame))
+    }
+
+    /// Sends a frame to every peer.
+    pub fn broadcast(&self, frame: &PeerFrame) {
+        for link in self.lock().values() {
+            link.send(frame.clone());
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<IncarnationId, PeerLink>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for PeerHub {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept_all(
+    listener: TcpListener,
+    context: Arc<LinkContext>,
+    events: mpsc::Sender<PeerEvent>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let context = Arc::clone(&context);
+                let events = events.clone();
+                tokio::spawn(async move {
+                    if let Err(error) = receive_all(stream, peer, &context, &events).await {
+                        log::debug!("event=peer-link-closed {error}");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("event=peer-accept-failed error={error}");
+                tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn receive_all(
+    stream: TcpStream,
+    peer: SocketAddr,
+    context: &LinkContext,
+    events: &mpsc::Sender<PeerEvent>,
+) -> Result<(), PeerError> {
+    let name = peer.to_string();
+    stream.set_nodelay(true).context(SocketSnafu { step: "accept", peer: &name })?;
+    let greet = async {
+        let mut channel = accept_async_with_config(stream, Some(channel_config()))
+            .await
+            .context(ChannelSnafu { step: "upgrade", peer: &name })?;
+        let identity = accept_peer(&mut channel, &context.keys, &name).await?;
+        Ok::<_, PeerError>((channel, identity))
+    };
+    let Ok(greeted) = timeout(HANDSHAKE_LONGEST, greet).await else {
+        return TimeoutSnafu { step: "handshake", peer: name }.fail();
+    };
+    let (mut channel, identity) = greeted?;
+    let incarnation = identity.incarnation;
+    if events.send(PeerEvent::Joined(identity)).await.is_err() {
+        return Ok(());
+    }
+    while let Some(message) = channel.next().await {
+        let message = message.context(ChannelSnafu { step: "receive", peer: &name })?;
+        if !message.is_binary() {
+            continue;
+        }
+        // A newer version may send kinds of frames that this one does not know.
+        let frame = match decode_frame(message.into_data().as_ref()) {
+            Ok(frame) => frame,
+            Err(error) => {
+                log::warn!("event=peer-frame-skipped peer={name} {error}");
+                continue;
+            }
+        };
+        if events.send(PeerEvent::Frame(incarnation, frame)).await.is_err() {
+            return Ok(());
+        }
+    }
+    let _closed = events.send(PeerEvent::Closed(incarnation)).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/jackdawmux_platform/src/http.rs
@@ -0,0 +1,166 @@
+//! The object API over HTTP.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use reqwest::header::{AUTHORIZATION, ETAG, HeaderMap, IF_MATCH, IF_NONE_MATCH};
+use reqwest::{Client, Response, StatusCode};
+use snafu::{OptionExt, ResultExt};
+
+use crate::error::{PlatformError, StatusSnafu, TransportSnafu, VersionSnafu};
+use crate::store::{ObjectStore, StoreFuture, StoredObject, UpdateOutcome};
+
+/// Longest time for connecting.
+const CONNECT_LONGEST: Duration = Duration::from_secs(1);
+/// Longest time for a call that does not wait.
+const CALL_LONGEST: Duration = Duration::from_secs(2);
+
+/// Client of one store.
+#[derive(Debug)]
+pub struct HttpStore {
+    client: Client,
+    base: String,
+    token: Option<String>,
+}
+
+impl HttpStore {
+    /// A client of the store at `base`, such as `http://127.0.0.1:7000`.
+    ///
+    /// # Errors
+    /// When the HTTP client cannot be set up.
+    pub fn open(base: &str, token: Option<&str>) -> Result<Self, PlatformError> {
+        let client = Client::builder()
+            .connect_timeout(CONNECT_LONGEST)
+            .no_proxy()
+            .tcp_nodelay(true)
+            .build()
+            .context(TransportSnafu { step: "open", peer: base })?;
+        let base = base.trim_end_matches('/').to_owned();
+        Ok(Self { client, base, token: token.map(str::to_owned) })
+    }
+
+    fn url(&self, key: &str) -> String {
+        format!("{}/objects/{key}", self.base)
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<StoredObject>, PlatformError> {
+        let step = "read";
+        let request = self.client.get(self.url(key)).timeout(CALL_LONGEST);
+        let response = request.send().await.context(TransportSnafu { step, peer: &self.base })?;
+        match response.status() {
+            StatusCode::OK => self.object(step, response).await.map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            status => self.unexpected(step, status),
+        }
+    }
+
+    async fn wait(
+        &self,
+        key: &str,
+        seen: u64,
+        wait: Duration,
+    ) -> Result<Option<StoredObject>, PlatformError> {
+        let step = "watch";
+        let url = format!("{}?after={seen}&wait_ms={}", self.url(key), wait.as_millis());
+        let request = self.client.get(url).timeout(wait + CALL_LONGEST);
+        let response = request.send().await.context(TransportSnafu { step, peer: &self.base })?;
+        match response.status() {
+            StatusCode::OK => self.object(step, response).await.map(Some),
+            StatusCode::NOT_MODIFIED | StatusCode::NOT_FOUND => Ok(None),
+            status => self.unexpected(step, status),
+        }
+    }
+
+    async fn put(&self, key: &str, expected: u64, content: Bytes) -> UpdateOutcome {
+        let step = "update";
+        let mut request = self.client.put(self.url(key)).timeout(CALL_LONGEST).body(content);
+        request = match expected {
+            0 => request.header(IF_NONE_MATCH, "*"),
+            version => request.header(IF_MATCH, format!("\"{version}\"")),
+        };
+        if let Some(token) = &self.token {
+            request = request.header(AUTHORIZATION, format!("Bearer {token}"));
+        }
+        let response = match request.send().await {
+            Ok(response) => response,
+            Err(source) => {
+                let is_unsent = source.is_connect() || source.is_builder();
+                let error = PlatformError::Transport { step, peer: self.base.clone(), source };
+                return if is_unsent {
+                    UpdateOutcome::NotDone(error)
+                } else {
+                    UpdateOutcome::Unknown(error)
+                };
+            }
+        };
+        self.judge_update(step, &response)
+    }
+
+    fn judge_update(&self, step: &'static str, response: &Response) -> UpdateOutcome {
+        let status = response.status();
+        if status.is_success() {
+            return match read_version(response.headers()) {
+                Some(version) => UpdateOutcome::Done(version),
+                None => {
+                    UpdateOutcome::Unknown(PlatformError::Version { step, peer: self.base.clone() })
+                }
+            };
+        }
+        if status == StatusCode::PRECONDITION_FAILED {
+            return UpdateOutcome::Conflict;
+        }
+        let error =
+            PlatformError::Status { step, peer: self.base.clone(), status: status.as_u16() };
+        if status.is_client_error() {
+            UpdateOutcome::NotDone(error)
+        } else {
+            UpdateOutcome::Unknown(error)
+        }
+    }
+
+    async fn object(
+        &self,
+        step: &'static str,
+        response: Response,
+    ) -> Result<StoredObject, PlatformError> {
+        let version =
+            read_version(response.headers()).context(VersionSnafu { step, peer: &self.base })?;
+        let content = response.bytes().await.context(TransportSnafu { step, peer: &self.base })?;
+        Ok(StoredObject { version, content })
+    }
+
+    fn unexpected<T>(&self, step: &'static str, status: StatusCode) -> Result<T, PlatformError> {
+        StatusSnafu { step, peer: &self.base, status: status.as_u16() }.fail()
+    }
+}
+
+impl ObjectStore for HttpStore {
+    fn read<'call>(
+        &'call self,
+        key: &'call str,
+    ) -> StoreFuture<'call, Result<Option<StoredObject>, PlatformError>> {
+        Box::pin(self.get(key))
+    }
+
+    fn watch<'call>(
+        &'call self,
+        key: &'call str,
+        seen: u64,
+        wait: Duration,
+    ) -> StoreFuture<'call, Result<Option<StoredObject>, PlatformError>> {
+        Box::pin(self.wait(key, seen, wait))
+    }
+
+    fn update<'call>(
+        &'call self,
+        key: &'call str,
+        expected: u64,
+        content: Bytes,
+    ) -> StoreFuture<'call, UpdateOutcome> {
+        Box::pin(self.put(key, expected, content))
+    }
+}
+
+fn read_version(headers: &HeaderMap) -> Option<u64> {
+    headers.get(ETAG)?.to_str().ok()?.trim_matches('"').parse().ok()
+}
--- /dev/null
+++ b/crates/jackdawmux_platform/src/store.rs
@@ -0,0 +1,93 @@
+//! The object API as a trait, so that tests can put a fake in its place.
+
+use std::pin::Pin;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::error::PlatformError;
+
+/// One object as read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredObject {
+    /// Version, counted from 1.
+    pub version: u64,
+    /// Content, at most 1 MB.
+    pub content: Bytes,
+}
+
+/// What is known of a conditional update.
+#[derive(Debug)]
+pub enum UpdateOutcome {
+    /// It took effect and made this version.
+    Done(u64),
+    /// The object had another version; nothing changed.
+    Conflict,
+    /// It certainly did not take effect.
+    NotDone(PlatformError),
+    /// It may have taken effect, or may still do so.
+    Unknown(PlatformError),
+}
+
+/// Future of a store call.
+pub type StoreFuture<'call, T> = Pin<Box<dyn Future<Output = T> + Send + 'call>>;
+
+/// The platform's object API.
+pub trait ObjectStore: Send + Sync + std::fmt::Debug {
+    /// Reads an object; `None` when it does not exist.
+    fn read<'call>(
+        &'call self,
+        key: &'call str,
+    ) -> StoreFuture<'call, Result<Option<StoredObject>, PlatformError>>;
+
+    /// Waits up to `wait` for a version above `seen`; `None` when none came.
+    fn watch<'call>(
+        &'call self,
+        key: &'call str,
+        seen: u64,
+        wait: Duration,
+    ) -> StoreFuture<'call, Result<Option<StoredObject>, PlatformError>>;
+
+    /// Replaces an object if it is still at version `expected`; zero means it must not exist.
+    fn update<'call>(
+        &'call self,
+        key: &'call str,
+        expected: u64,
+        content: Bytes,
+    ) -> StoreFuture<'call, UpdateOutcome>;
+}
+
+/// Tries of [`update_with`] before it gives up.
+const UPDATE_TRIES: usize = 16;
+
+/// Reads an object, edits it and writes it back until the update is certain.
+///
+/// `edit` returns the new content, or `None` when the object already is as wanted. An update of
+/// unknown outcome is settled by the next round: if it took effect, `edit` finds nothing to do;
+/// if it did not, the next conditional update on the same version either takes effect or finds
+/// that the first one did.
+///
+/// # Errors
+/// The last error when the store did not answer, or `None` after too many conflicts.
+pub async fn update_with(
+    store: &dyn ObjectStore,
+    key: &str,
+    mut edit: impl FnMut(Option<&StoredObject>) -> Option<Bytes> + Send,
+) -> Result<Option<StoredObject>, Option<PlatformError>> {
+    let mut last_error = None;
+    for _ in 0..UPDATE_TRIES {
+        let current = store.read(key).await.map_err(Some)?;
+        let expected = current.as_ref().map_or(0, |object| object.version);
+        let Some(content) = edit(current.as_ref()) else {
+            return Ok(current);
+        };
+        match store.update(key, expected, content.clone()).await {
+            UpdateOutcome::Done(version) => return Ok(Some(StoredObject { version, content })),
+            UpdateOutcome::Conflict => {}
+            UpdateOutcome::NotDone(error) | UpdateOutcome::Unknown(error) => {
+                last_error = Some(error);
+            }
+        }
+    }
+    Err(last_error)
+}
--- /dev/null
+++ b/crates/jackdawmux_policy/src/assignment.rs
@@ -0,0 +1,103 @@
+//! Which member should own which endpoint.
+//!
+//! Owners are near their endpoints: a member of the same failure domain, else of the same
+//! region, else any. Within that tier, rendezvous hashing with a bound on each member's load
+//! spreads endpoints evenly and moves few when membership changes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::identity::{IncarnationId, mix64, stable_hash};
+use crate::table::{EndpointSpec, RouteTable, ServiceSpec};
+
+/// A member as a candidate owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberPlace {
+    /// The running process.
+    pub incarnation: IncarnationId,
+    /// Region of the member.
+    pub region: String,
+    /// Failure domain of the member.
+    pub domain: String,
+}
+
+/// Target owner of every endpoint of a service; empty when there are no members.
+#[must_use]
+pub fn target_owners(
+    service: &ServiceSpec,
+    table: &RouteTable,
+    members: &[MemberPlace],
+) -> BTreeMap<SocketAddr, IncarnationId> {
+    let mut owners = BTreeMap::new();
+    let mut loads: BTreeMap<IncarnationId, usize> = BTreeMap::new();
+    for tier in tiers(service, table, members) {
+        let bound = tier.endpoints.len().div_ceil(tier.members.len().max(1));
+        let base: BTreeMap<IncarnationId, usize> = loads.clone();
+        for address in tier.endpoints {
+            let hash = stable_hash(address.to_string().as_bytes());
+            let room = |member: &IncarnationId| {
+                let added = loads.get(member).unwrap_or(&0) - base.get(member).unwrap_or(&0);
+                added < bound
+            };
+            let best = tier
+                .members
+                .iter()
+                .filter(|member| room(member))
+                .max_by_key(|member| mix64(hash ^ member.0));
+            if let Some(owner) = best.copied() {
+                *loads.entry(owner).or_default() += 1;
+                owners.insert(address, owner);
+            }
+        }
+    }
+    owners
+}
+
+struct OwnerTier {
+    endpoints: Vec<SocketAddr>,
+    members: Vec<IncarnationId>,
+}
+
+/// Groups the endpoints that share the same candidate owners.
+fn tiers(service: &ServiceSpec, table: &RouteTable, members: &[MemberPlace]) -> Vec<OwnerTier> {
+    let mut groups: BTreeMap<Vec<IncarnationId>, Vec<SocketAddr>> = BTreeMap::new();
+    for endpoint in &service.endpoints {
+        let candidates = candidates(endpoint, table, members);
+        if !candidates.is_empty() {
+            groups.entry(candidates).or_default().push(endpoint.address);
+        }
+    }
+    groups
+        .into_iter()
+        .map(|(members, mut endpoints)| {
+            endpoints.sort_unstable();
+            OwnerTier { endpoints, members }
+        })
+        .collect()
+}
+
+fn candidates(
+    endpoint: &EndpointSpec,
+    table: &RouteTable,
+    members: &[MemberPlace],
+) -> Vec<IncarnationId> {
+    let region = table.region_of(&endpoint.domain).unwrap_or_default();
+    let pick = |is_near: &dyn Fn(&MemberPlace) -> bool| {
+        let mut near: Vec<_> = members
+            .iter()
+            .filter(|member| is_near(member))
+            .map(|member| member.incarnation)
+            .collect();
+        near.sort_unstable();
+        near
+    };
+    let same_domain = pick(&|member| member.domain == endpoint.domain);
+    if !same_domain.is_empty() {
+        return same_domain;
+    }
+    let same_region = pick(&|member| member.region == region);
+    if !same_region.is_empty() {
+        return same_region;
+    }
+    pick(&|_| true)
+}
--- /dev/null
+++ b/crates/jackdawmux_policy/src/message.rs
@@ -0,0 +1,169 @@
+//! Messages that the steering state machines of two instances exchange.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::de::{IgnoredAny, SeqAccess, Visitor};
+use serde::ser::SerializeTuple;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use strum::AsRefStr;
+
+use crate::clock::PolicyTime;
+use crate::desk::{LoanReport, SlotLoan};
+use crate::group::GroupView;
+use crate::identity::{IncarnationId, LoanId, RequestId};
+use crate::table::RequestPriority;
+
+/// Free slots and waiting requests of one service at the sender.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceReport {
+    /// Name of the service.
+    pub service: String,
+    /// Slots that could be given out.
+    pub idle: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+}
+
+impl Serialize for ServiceReport {
+    // One tuple without field names: every pulse carries one for each service.
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut tuple = serializer.serialize_tuple(3)?;
+        tuple.serialize_element(&self.service)?;
+        tuple.serialize_element(&self.idle)?;
+        tuple.serialize_element(&self.waiting)?;
+        tuple.end()
+    }
+}
+
+impl<'de> Deserialize<'de> for ServiceReport {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_seq(ReportVisitor)
+    }
+}
+
+struct ReportVisitor;
+
+impl<'de> Visitor<'de> for ReportVisitor {
+    type Value = ServiceReport;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a tuple of service, idle and waiting")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut sequence: A) -> Result<Self::Value, A::Error> {
+        let missing = |index| serde::de::Error::invalid_length(index, &self);
+        let service = sequence.next_element()?.ok_or_else(|| missing(0))?;
+        let idle = sequence.next_element()?.ok_or_else(|| missing(1))?;
+        let waiting = sequence.next_element()?.ok_or_else(|| missing(2))?;
+        // Later versions may append elements; they are skipped.
+        while sequence.next_element::<IgnoredAny>()?.is_some() {}
+        Ok(ServiceReport { service, idle, waiting })
+    }
+}
+
+/// Regular report of an instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstancePulse {
+    /// The sender's monotonic clock.
+    pub clock: PolicyTime,
+    /// Version of the configuration in force; zero when none is.
+    pub config_version: u64,
+    /// Version of the stored view last seen.
+    pub view_version: u64,
+    /// Slots by service.
+    pub reports: Vec<ServiceReport>,
+    /// Whether the sender is leaving.
+    pub is_leaving: bool,
+}
+
+/// A message between two instances.
+#[derive(Clone, Debug, PartialEq, Eq, AsRefStr, Serialize, Deserialize)]
+#[strum(serialize_all = "kebab-case")]
+pub enum SteeringMessage {
+    /// Regular report; also sent at once when something in it changes.
+    Pulse(InstancePulse),
+    /// Asks a committee member for a promise.
+    PromiseAsk {
+        /// The holder's clock when it asked.
+        asked_at: PolicyTime,
+        /// Version of the stored view that the holder has seen.
+        seen: u64,
+    },
+    /// Grants a promise.
+    PromiseGiven {
+        /// Copied from the request.
+        asked_at: PolicyTime,
+    },
+    /// Asks a committee member for a vow against a silent holder.
+    VowAsk {
+        /// The silent holder.
+        holder: IncarnationId,
+        /// Version of the stored view that the taker builds on.
+        version: u64,
+    },
+    /// Makes a vow.
+    VowMade {
+        /// Copied from the request.
+        holder: IncarnationId,
+        /// Copied from the request.
+        version: u64,
+    },
+    /// Asks for the stored view if it is above a version.
+    ViewAsk {
+        /// Version that the sender has seen.
+        seen: u64,
+    },
+    /// Passes on the stored view.
+    ViewOffer {
+        /// Its version in the store.
+        version: u64,
+        /// The view.
+        view: GroupView,
+    },
+    /// Asks for a slot for one waiting request.
+    Want {
+        /// Name of the service.
+        service: String,
+        /// The waiting try at the sender.
+        id: RequestId,
+        /// Importance.
+        priority: RequestPriority,
+        /// Time left to the deadline.
+        patience: Duration,
+        /// The sender's monotonic clock.
+        clock: PolicyTime,
+    },
+    /// Takes a want back.
+    Withdraw {
+        /// Name of the service.
+        service: String,
+        /// The try that no longer waits.
+        id: RequestId,
+    },
+    /// Lends a slot for one waiting request.
+    Grant {
+        /// Name of the service.
+        service: String,
+        /// The waiting try at the receiver.
+        id: RequestId,
+        /// The loan.
+        loan: SlotLoan,
+    },
+    /// Returns a loan.
+    Return {
+        /// Name of the service.
+        service: String,
+        /// The loan.
+        loan: LoanId,
+        /// How the exchange ended; absent when the loan was not used.
+        report: Option<LoanReport>,
+    },
+    /// Shares the standing of a request that brought an endpoint down.
+    Suspect {
+        /// Digest of the request.
+        digest: u64,
+        /// Whether it is convicted rather than only suspected.
+        is_convicted: bool,
+    },
+}
--- /dev/null
+++ b/crates/jackdawmux_policy/src/steering.rs
@@ -0,0 +1,542 @@
+//! The whole steering state of one instance: membership and one desk for each service.
+//!
+//! An instance feeds it requests, messages of peers, stored views, new tables and the passing of
+//! time, and carries out the actions that come back.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::PolicyTime;
+use crate::desk::{DeskAction, DeskActions, DeskSettings, PeerReport, ServiceDesk, SlotRequest};
+use crate::endpoint::{EndpointSlots, ExchangeResult};
+use crate::group::{GroupMember, GroupView, OwnerMove};
+use crate::identity::{IncarnationId, RequestId};
+use crate::lease::LeaseSettings;
+use crate::membership::{GroupMembership, MembershipAction, MembershipEvent};
+use crate::message::{InstancePulse, ServiceReport, SteeringMessage};
+use crate::outcome::{RefusalReason, RequestRefusal};
+use crate::table::{RouteTable, ServiceSpec};
+
+/// Fixed settings of the steering state.
+#[derive(Clone, Copy, Debug)]
+pub struct SteeringSettings {
+    /// Spans of the lease protocol.
+    pub lease: LeaseSettings,
+    /// Most waiting requests of a service.
+    pub queue_limit: usize,
+    /// Time from grant to the latest start of work under a loan.
+    pub loan_ttl: Duration,
+    /// Peers asked at once for one waiting request.
+    pub want_fanout: usize,
+}
+
+impl Default for SteeringSettings {
+    fn default() -> Self {
+        Self {
+            lease: LeaseSettings {
+                promise_ttl: Duration::from_secs(3),
+                rate_margin: Duration::from_millis(300),
+            },
+            queue_limit: 512,
+            loan_ttl: Duration::from_secs(2),
+            want_fanout: 2,
+        }
+    }
+}
+
+/// Something the instance must carry out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SteeringAction {
+    /// Send a request to an endpoint.
+    Dispatch {
+        /// The try.
+        id: RequestId,
+        /// Where to send it.
+        endpoint: SocketAddr,
+        /// Failure domain of the endpoint.
+        domain: String,
+        /// Longest work covered by the slot.
+        allowance: Duration,
+    },
+    /// Give a request its final answer now.
+    Refuse {
+        /// The try.
+        id: RequestId,
+        /// The answer.
+        refusal: RequestRefusal,
+    },
+    /// Close idle connections to an endpoint.
+    CloseIdle(SocketAddr),
+    /// Send a message to a peer.
+    Send(IncarnationId, SteeringMessage),
+    /// Conditionally update the stored view.
+    WriteView {
+        /// Version that must be current.
+        expected: u64,
+        /// The new view.
+        view: GroupView,
+    },
+    /// A peer has a higher version of the configuration in force.
+    ConfigBehind(IncarnationId),
+    /// An event for the time line.
+    Event(MembershipEvent, Option<IncarnationId>),
+}
+
+/// Steering state of one instance.
+#[derive(Debug)]
+pub struct InstanceSteering {
+    settings: SteeringSettings,
+    domain: String,
+    membership: GroupMembership,
+    table: Arc<RouteTable>,
+    config_version: u64,
+    desks: BTreeMap<String, ServiceDesk>,
+    identities: BTreeMap<IncarnationId, String>,
+    releasing: Vec<OwnerMove>,
+}
+
+impl InstanceSteering {
+    /// The state of an instance that has neither joined nor received a configuration.
+    #[must_use]
+    pub fn new(own: GroupMember, settings: SteeringSettings) -> Self {
+        Self {
+            settings,
+            domain: own.domain.clone(),
+            membership: GroupMembership::new(own, settings.lease),
+            table: Arc::new(RouteTable::default()),
+            config_version: 0,
+            desks: BTreeMap::new(),
+            identities: BTreeMap::new(),
+            releasing: Vec::new(),
+        }
+    }
+
+    /// Membership, for reports.
+    #[must_use]
+    pub const fn membership(&self) -> &GroupMembership {
+        &self.membership
+    }
+
+    /// Desks by service, for reports.
+    #[must_use]
+    pub const fn desks(&self) -> &BTreeMap<String, ServiceDesk> {
+        &self.desks
+    }
+
+    /// The table in force.
+    #[must_use]
+    pub const fn table(&self) -> &Arc<RouteTable> {
+        &self.table
+    }
+
+    /// Region of this instance under the table in force.
+    #[must_use]
+    pub fn region(&self) -> &str {
+        self.table.region_of(&self.domain).unwrap_or_default()
+    }
+
+    /// A higher version of the configuration comes into force.
+    pub fn put_in_force(
+        &mut self,
+        now: PolicyTime,
+        version: u64,
+        table: Arc<RouteTable>,
+    ) -> Vec<SteeringAction> {
+        let mut actions = Vec::new();
+        self.table = table;
+        self.config_version = version;
+        let table = Arc::clone(&self.table);
+        for service in &table.services {
+            self.add_desk(service);
+            let Some(desk) = self.desks.get_mut(&service.name) else {
+                continue;
+            };
+            for endpoint in &service.endpoints {
+                let done = desk.amend(endpoint.address, endpoint.slots, endpoint.is_draining);
+                translate(&service.name, done, &mut actions);
+            }
+        }
+        self.sync_owned(now);
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// The stored view, read from the store or passed on by a peer.
+    pub fn see_view(
+        &mut self,
+        now: PolicyTime,
+        version: u64,
+        view: GroupView,
+    ) -> Vec<SteeringAction> {
+        let mut actions = Vec::new();
+        let was_member = self.membership.is_member();
+        if !self.membership.see_view(now, version, view) {
+            return actions;
+        }
+        self.releasing.clear();
+        let event = match (was_member, self.membership.is_member()) {
+            (false, true) => Some(MembershipEvent::Joined),
+            (true, false) => Some(MembershipEvent::Removed),
+            (true, true) | (false, false) => None,
+        };
+        actions.extend(event.map(|event| SteeringAction::Event(event, None)));
+        for member in &self.membership.view().members {
+            self.identities.insert(member.incarnation, member.domain.clone());
+        }
+        self.sync_owned(now);
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// The store answered; `write_ended` when the update that was out has ended in any way.
+    pub const fn see_store(&mut self, now: PolicyTime, write_ended: bool) {
+        self.membership.see_store(now);
+        if write_ended {
+            self.membership.end_write();
+        }
+    }
+
+    /// The update that was out failed without an answer.
+    pub const fn lose_write(&mut self) {
+        self.membership.end_write();
+    }
+
+    /// A peer in `domain` proved itself on a link.
+    pub fn meet(&mut self, now: PolicyTime, peer: IncarnationId, domain: &str) {
+        self.identities.insert(peer, domain.to_owned());
+        self.membership.hear(now, peer);
+    }
+
+    /// A request asks for a slot of `service`.
+    pub fn admit(
+        &mut self,
+        now: PolicyTime,
+        service: &str,
+        request: SlotRequest,
+    ) -> Vec<SteeringAction> {
+        let mut actions = Vec::new();
+        let Some(desk) = self.desks.get_mut(service) else {
+            let refusal = RequestRefusal::never(RefusalReason::NoRoute);
+            actions.push(SteeringAction::Refuse { id: request.id, refusal });
+            return actions;
+        };
+        desk.set_lease(self.membership.lease_until());
+        translate_at(service, now, desk.arrive(now, request), &mut actions);
+        actions
+    }
+
+    /// Whether a retry of a request of `service` may be made.
+    pub fn spend_retry(&mut self, service: &str) -> bool {
+        self.desks.get_mut(service).is_some_and(ServiceDesk::spend_retry)
+    }
+
+    /// A dispatched request ended.
+    pub fn finish(
+        &mut self,
+        now: PolicyTime,
+        service: &str,
+        id: RequestId,
+        result: ExchangeResult,
+        latency: Duration,
+    ) -> Vec<SteeringAction> {
+        let mut actions = Vec::new();
+        if let Some(desk) = self.desks.get_mut(service) {
+            desk.set_lease(self.membership.lease_until());
+            let done = desk.finish(now, id, result, latency);
+            translate_at(service, now, done, &mut actions);
+        }
+        actions
+    }
+
+    /// A waiting request is no longer wanted.
+    pub fn cancel(&mut self, now: PolicyTime, service: &str, id: RequestId) -> Vec<SteeringAction> {
+        let mut actions = Vec::new();
+        if let Some(desk) = self.desks.get_mut(service) {
+            translate_at(service, now, desk.cancel(id), &mut actions);
+        }
+        actions
+    }
+
+    /// A message of a peer arrived.
+    pub fn receive(
+        &mut self,
+        now: PolicyTime,
+        peer: IncarnationId,
+        message: SteeringMessage,
+    ) -> Vec<SteeringAction> {
+        let mut actions = Vec::new();
+        self.membership.hear(now, peer);
+        let mut lease_actions = Vec::new();
+        self.membership.receive(now, peer, &message, &mut lease_actions);
+        actions.extend(lease_actions.into_iter().map(from_membership));
+        let lease = self.membership.lease_until();
+        match message {
+            SteeringMessage::Pulse(pulse) => self.hear_pulse(now, peer, pulse, &mut actions),
+            SteeringMessage::ViewOffer { version, view } => {
+                actions.extend(self.see_view(now, version, view));
+            }
+            SteeringMessage::Want { service, id, priority, patience, clock } => {
+                if let Some(desk) = self.desks.get_mut(&service) {
+                    desk.set_lease(lease);
+                    desk.note_clock(peer, clock);
+                    let done = desk.want(now, peer, id, priority, patience);
+                    translate_at(&service, now, done, &mut actions);
+                }
+            }
+            SteeringMessage::Withdraw { service, id } => {
+                if let Some(desk) = self.desks.get_mut(&service) {
+                    desk.withdraw(peer, id);
+                }
+            }
+            SteeringMessage::Grant { service, id, loan } => {
+                if let Some(desk) = self.desks.get_mut(&service) {
+                    let done = desk.grant(now, peer, id, loan);
+                    translate_at(&service, now, done, &mut actions);
+                }
+            }
+            SteeringMessage::Return { service, loan, report } => {
+                if let Some(desk) = self.desks.get_mut(&service) {
+                    desk.set_lease(lease);
+                    let done = desk.take_back(now, peer, loan, report);
+                    translate_at(&service, now, done, &mut actions);
+                }
+            }
+            SteeringMessage::PromiseAsk { .. }
+            | SteeringMessage::PromiseGiven { .. }
+            | SteeringMessage::VowAsk { .. }
+            | SteeringMessage::VowMade { .. }
+            | SteeringMessage::ViewAsk { .. }
+            | SteeringMessage::Suspect { .. } => {}
+        }
+        actions
+    }
+
+    /// Regular work, several times a second.
+    pub fn pulse(&mut self, now: PolicyTime) -> Vec<SteeringAction> {
+        let mut actions = Vec::new();
+        self.drop_silent_peers(now, &mut actions);
+        let lease = self.membership.lease_until();
+        for (service, desk) in &mut self.desks {
+            desk.set_lease(lease);
+            translate_at(service, now, desk.tick(now), &mut actions);
+        }
+        self.advance(now, &mut actions);
+        let pulse = self.report(now);
+        let peers: Vec<_> = self.membership.living(now).collect();
+        for peer in self.known_peers(&peers) {
+            actions.push(SteeringAction::Send(peer, SteeringMessage::Pulse(pulse.clone())));
+        }
+        actions
+    }
+
+    /// A planned stop begins: no new loans, and endpoints are handed over as they fall idle.
+    pub fn leave(&mut self, now: PolicyTime) -> Vec<SteeringAction> {
+        self.membership.leave();
+        for desk in self.desks.values_mut() {
+            desk.leave();
+        }
+        self.pulse(now)
+    }
+
+    /// Whether nothing runs, waits or is lent here any more.
+    #[must_use]
+    pub fn is_drained(&self) -> bool {
+        self.desks.values().all(|desk| {
+            let is_unused = desk.endpoints().iter().all(|endpoint| endpoint.used() == 0);
+            is_unused && desk.running() == 0 && desk.waiting() == 0
+        })
+    }
+
+    fn add_desk(&mut self, service: &ServiceSpec) {
+        let settings = DeskSettings {
+            queue_limit: self.settings.queue_limit,
+            loan_ttl: self.settings.loan_ttl,
+            longest_work: service.longest_timeout(),
+            want_fanout: self.settings.want_fanout,
+        };
+        let domain = &self.domain;
+        let desk = self
+            .desks
+            .entry(service.name.clone())
+            .or_insert_with(|| ServiceDesk::new(settings, domain));
+        desk.set_longest_work(service.longest_timeout());
+    }
+
+    /// Makes the desks hold exactly the endpoints that the view gives this instance.
+    fn sync_owned(&mut self, now: PolicyTime) {
+        let own = self.membership.own();
+        let table = Arc::clone(&self.table);
+        for service in &table.services {
+            let Some(desk) = self.desks.get_mut(&service.name) else {
+                continue;
+            };
+            let held: BTreeMap<_, _> =
+                self.membership.view().owned_by(&service.name, own).collect();
+            let lost: Vec<SocketAddr> = desk
+                .endpoints()
+                .iter()
+                .map(|endpoint| endpoint.address)
+                .filter(|address| !held.contains_key(address))
+                .collect();
+            for address in lost {
+                desk.forfeit(address);
+            }
+            for endpoint in &service.endpoints {
+                let Some(record) = held.get(&endpoint.address) else {
+                    continue;
+                };
+                let is_leaving = |item: &OwnerMove| item.address == endpoint.address;
+                if self.releasing.iter().any(is_leaving) {
+                    continue;
+                }
+                let settle = self.settings.loan_ttl + service.longest_timeout();
+                let usable_at = if record.is_clean { now } else { now + settle };
+                let region = table.region_of(&endpoint.domain).unwrap_or_default();
+                let (address, domain) = (endpoint.address, &endpoint.domain);
+                desk.own(EndpointSlots::new(address, domain, region, endpoint.slots, usable_at));
+                let _closed = desk.amend(address, endpoint.slots, endpoint.is_draining);
+            }
+        }
+    }
+
+    /// Stops using endpoints that another member should own and notes those that are free of
+    /// use. A noted one stays unused until a newer view settles whether its hand-over was stored.
+    fn release_misplaced(&mut self) {
+        let own = self.membership.own();
+        let misplaced = self.membership.view().misplaced(own, &self.table);
+        for (service, desk) in &mut self.desks {
+            let addresses: Vec<_> = desk.endpoints().iter().map(|slots| slots.address).collect();
+            for address in addresses {
+                let is_misplaced = misplaced
+                    .iter()
+                    .any(|item| item.service == *service && item.address == address);
+                if !is_misplaced {
+                    desk.resume_using(address);
+                }
+            }
+        }
+        for item in misplaced {
+            let is_free = self
+                .desks
+                .get_mut(&item.service)
+                .is_none_or(|desk| desk.stop_using(item.address) && desk.disown(item.address));
+            let is_noted = self.releasing.iter().any(|known| known.address == item.address);
+            if is_free && !is_noted {
+                self.releasing.push(item);
+            }
+        }
+    }
+
+    fn advance(&mut self, now: PolicyTime, actions: &mut Vec<SteeringAction>) {
+        self.release_misplaced();
+        let planned = self.membership.pulse(now, &self.table, &self.releasing);
+        actions.extend(planned.into_iter().map(from_membership));
+    }
+
+    fn drop_silent_peers(&mut self, now: PolicyTime, actions: &mut Vec<SteeringAction>) {
+        let living: Vec<_> = self.membership.living(now).collect();
+        for (service, desk) in &mut self.desks {
+            for peer in desk.silent_peers(&living) {
+                translate_at(service, now, desk.lose_peer(now, peer), actions);
+            }
+        }
+    }
+
+    /// Members of the view and peers that were met on a link.
+    fn known_peers(&self, living: &[IncarnationId]) -> Vec<IncarnationId> {
+        let own = self.membership.own();
+        let members = self.membership.view().members.iter().map(|member| member.incarnation);
+        let mut peers: Vec<_> =
+            members.chain(living.iter().copied()).filter(|peer| *peer != own).collect();
+        peers.sort_unstable();
+        peers.dedup();
+        peers
+    }
+
+    fn report(&self, now: PolicyTime) -> InstancePulse {
+        let reports = self.desks.iter().map(|(service, desk)| ServiceReport {
+            service: service.clone(),
+            idle: desk.idle(now),
+            waiting: u32::try_from(desk.waiting()).unwrap_or(u32::MAX),
+        });
+        InstancePulse {
+            clock: now,
+            config_version: self.config_version,
+            view_version: self.membership.version(),
+            reports: reports.collect(),
+            is_leaving: self.membership.is_leaving(),
+        }
+    }
+
+    fn hear_pulse(
+        &mut self,
+        now: PolicyTime,
+        peer: IncarnationId,
+        pulse: InstancePulse,
+        actions: &mut Vec<SteeringAction>,
+    ) {
+        if pulse.config_version > self.config_version {
+            actions.push(SteeringAction::ConfigBehind(peer));
+        }
+        let domain = self.identities.get(&peer).map(String::as_str).unwrap_or_default();
+        let region = self.table.region_of(domain).unwrap_or_default().to_owned();
+        let delay = self.table.delay_between(self.region(), &region);
+        for report in pulse.reports {
+            let Some(desk) = self.desks.get_mut(&report.service) else {
+                continue;
+            };
+            desk.note_clock(peer, pulse.clock);
+            if pulse.is_leaving {
+                translate_at(&report.service, now, desk.lose_lender(now, peer), actions);
+                continue;
+            }
+            let (idle, waiting) = (report.idle, report.waiting);
+            desk.hear(peer, PeerReport { idle, waiting, region: region.clone(), delay });
+        }
+    }
+}
+
+fn from_membership(action: MembershipAction) -> SteeringAction {
+    match action {
+        MembershipAction::Send(peer, message) => SteeringAction::Send(peer, message),
+        MembershipAction::Write { expected, view } => SteeringAction::WriteView { expected, view },
+        MembershipAction::Event(event, peer) => SteeringAction::Event(event, peer),
+    }
+}
+
+fn translate(service: &str, done: DeskActions, actions: &mut Vec<SteeringAction>) {
+    translate_at(service, PolicyTime::default(), done, actions);
+}
+
+/// Turns a desk's actions into the instance's; `now` stamps wants.
+fn translate_at(
+    service: &str,
+    now: PolicyTime,
+    done: DeskActions,
+    actions: &mut Vec<SteeringAction>,
+) {
+    let named = || service.to_owned();
+    actions.extend(done.into_iter().map(|action| match action {
+        DeskAction::Dispatch { id, endpoint, domain, allowance } => {
+            SteeringAction::Dispatch { id, endpoint, domain, allowance }
+        }
+        DeskAction::Refuse { id, refusal } => SteeringAction::Refuse { id, refusal },
+        DeskAction::CloseIdle(address) => SteeringAction::CloseIdle(address),
+        DeskAction::Want { peer, id, priority, patience } => {
+            let service = named();
+            let want = SteeringMessage::Want { service, id, priority, patience, clock: now };
+            SteeringAction::Send(peer, want)
+        }
+        DeskAction::Withdraw { peer, id } => {
+            SteeringAction::Send(peer, SteeringMessage::Withdraw { service: named(), id })
+        }
+        DeskAction::Grant { peer, id, loan } => {
+            SteeringAction::Send(peer, SteeringMessage::Grant { service: named(), id, loan })
+        }
+        DeskAction::Return { peer, loan, report } => {
+            SteeringAction::Send(peer, SteeringMessage::Return { service: named(), loan, report })
+        }
+    }));
+}
--- /dev/null
+++ b/crates/jackdawmux_policy/tests/support/mod.rs
@@ -0,0 +1,302 @@
+//! Several instances of the steering state over an in-memory network and store.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jackdawmux_policy::clock::PolicyTime;
+use jackdawmux_policy::desk::SlotRequest;
+use jackdawmux_policy::endpoint::ExchangeResult;
+use jackdawmux_policy::group::{GroupMember, GroupView};
+use jackdawmux_policy::identity::{IncarnationId, RequestId};
+use jackdawmux_policy::lease::LeaseCommittee;
+use jackdawmux_policy::message::SteeringMessage;
+use jackdawmux_policy::steering::{InstanceSteering, SteeringAction, SteeringSettings};
+use jackdawmux_policy::table::{
+    EndpointSpec, OperationSpec, RegionSpec, RepeatRule, RequestPriority, RouteTable, ServiceSpec,
+};
+use smallvec::SmallVec;
+
+pub const SERVICE: &str = "ledger";
+pub const LONGEST_WORK: Duration = Duration::from_secs(2);
+
+/// A table of one service with endpoints spread over domains `d0`, `d1`, ...
+pub fn table(domains: usize, endpoints: usize, slots: u32) -> RouteTable {
+    let names: Vec<String> = (0..domains).map(|index| format!("d{index}")).collect();
+    RouteTable {
+        regions: vec![RegionSpec {
+            name: "r".to_owned(),
+            domains: names.iter().cloned().collect(),
+        }],
+        links: Vec::new(),
+        services: vec![ServiceSpec {
+            name: SERVICE.to_owned(),
+            operations: vec![OperationSpec {
+                method: "GET".to_owned(),
+                prefix: "/".to_owned(),
+                priority: RequestPriority::Low,
+                repeat: RepeatRule::Repeatable,
+                timeout: LONGEST_WORK,
+            }],
+            endpoints: (0..endpoints)
+                .map(|index| EndpointSpec {
+                    address: endpoint(index),
+                    domain: names[index % domains].clone(),
+                    slots,
+                    connections: 400,
+                    is_draining: false,
+                })
+                .collect(),
+        }],
+        shifts: Vec::new(),
+    }
+}
+
+pub fn endpoint(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 1_000 + u16::try_from(index).unwrap()))
+}
+
+pub fn request(id: u64, now: PolicyTime, patience: Duration) -> SlotRequest {
+    SlotRequest {
+        id: RequestId(id),
+        priority: RequestPriority::Normal,
+        deadline: now + patience,
+        region: "r".to_owned(),
+        excluded: SmallVec::new(),
+        avoided_domain: None,
+        is_suspect: false,
+        may_probe: true,
+    }
+}
+
+/// A message on its way.
+#[derive(Clone, Debug)]
+pub struct Envelope {
+    pub from: usize,
+    pub to: IncarnationId,
+    pub message: SteeringMessage,
+}
+
+/// An update on its way to the store.
+#[derive(Clone, Debug)]
+pub struct PendingWrite {
+    pub from: usize,
+    pub expected: u64,
+    pub view: GroupView,
+}
+
+/// Work that an endpoint runs.
+#[derive(Clone, Debug)]
+pub struct RunningWork {
+    pub node: usize,
+    pub id: RequestId,
+    pub endpoint: SocketAddr,
+    pub until: u64,
+}
+
+/// Instances with one clock each, a network and a store.
+pub struct Fleet {
+    pub nodes: Vec<InstanceSteering>,
+    pub ids: Vec<IncarnationId>,
+    pub now: u64,
+    /// Offset of each instance's clock, in microseconds.
+    pub offsets: Vec<u64>,
+    pub is_frozen: Vec<bool>,
+    pub is_dead: Vec<bool>,
+    pub network: VecDeque<Envelope>,
+    pub writes: VecDeque<PendingWrite>,
+    pub store: (u64, GroupView),
+    pub is_store_up: bool,
+    pub work: Vec<RunningWork>,
+    pub peak: BTreeMap<SocketAddr, usize>,
+    pub refused: Vec<RequestId>,
+    pub dispatched: Vec<RequestId>,
+    pub events: Vec<String>,
+    /// Pairs between which messages are lost.
+    pub cuts: Vec<(usize, usize)>,
+}
+
+impl Fleet {
+    pub fn new(count: usize, table: &RouteTable) -> Self {
+        let settings = SteeringSettings::default();
+        let table = Arc::new(table.clone());
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            ids: Vec::new(),
+            now: 0,
+            offsets: Vec::new(),
+            is_frozen: vec![false; count],
+            is_dead: vec![false; count],
+            network: VecDeque::new(),
+            writes: VecDeque::new(),
+            store: (0, GroupView::default()),
+            is_store_up: true,
+            work: Vec::new(),
+            peak: BTreeMap::new(),
+            refused: Vec::new(),
+            dispatched: Vec::new(),
+            events: Vec::new(),
+            cuts: Vec::new(),
+        };
+        for index in 0..count {
+            let id = IncarnationId(0x1000 + index as u64 * 7);
+            fleet.ids.push(id);
+            fleet.offsets.push(1_000_000 + index as u64 * 12_345);
+            let mut node = InstanceSteering::new(member(index, id, &table), settings);
+            let actions = node.put_in_force(fleet.clock(index), 1, Arc::clone(&table));
+            fleet.nodes.push(node);
+            fleet.carry_out(index, actions);
+        }
+        fleet
+    }
+
+    pub fn clock(&self, node: usize) -> PolicyTime {
+        PolicyTime(self.now + self.offsets[node])
+    }
+
+    pub fn is_running(&self, node: usize) -> bool {
+        !self.is_frozen[node] && !self.is_dead[node]
+    }
+
+    pub fn carry_out(&mut self, node: usize, actions: Vec<SteeringAction>) {
+        for action in actions {
+            match action {
+                SteeringAction::Dispatch { id, endpoint, allowance, .. } => {
+                    self.dispatched.push(id);
+                    let until = self.now + allowance.as_micros() as u64;
+                    self.work.push(RunningWork { node, id, endpoint, until });
+                    let running = self.work.iter().filter(|work| work.endpoint == endpoint).count();
+                    let peak = self.peak.entry(endpoint).or_default();
+                    *peak = (*peak).max(running);
+                }
+                SteeringAction::Refuse { id, .. } => self.refused.push(id),
+                SteeringAction::Send(to, message) => {
+                    self.network.push_back(Envelope { from: node, to, message });
+                }
+                SteeringAction::WriteView { expected, view } => {
+                    self.writes.push_back(PendingWrite { from: node, expected, view });
+                }
+                SteeringAction::Event(event, peer) => {
+                    self.events.push(format!("{} {node} {event} {peer:?}", self.now / 1_000));
+                }
+                SteeringAction::CloseIdle(_) | SteeringAction::ConfigBehind(_) => {}
+            }
+        }
+    }
+
+    pub fn deliver(&mut self, envelope: Envelope) {
+        let Some(to) = self.ids.iter().position(|id| *id == envelope.to) else {
+            return;
+        };
+        if !self.is_running(to) || self.cuts.contains(&(envelope.from, to)) {
+            return;
+        }
+        let from = self.ids[envelope.from];
+        let now = self.clock(to);
+        let actions = self.nodes[to].receive(now, from, envelope.message);
+        self.carry_out(to, actions);
+    }
+
+    /// Applies a write in the store; `is_answered` when the writer hears of it.
+    pub fn apply(&mut self, write: PendingWrite, is_answered: bool) {
+        let is_current = self.store.0 == write.expected;
+        if is_current {
+            self.store = (write.expected + 1, write.view);
+        }
+        if is_answered && self.is_running(write.from) {
+            self.show_store(write.from, true);
+        }
+    }
+
+    /// An instance reads the store.
+    pub fn show_store(&mut self, node: usize, write_ended: bool) {
+        if !self.is_store_up || !self.is_running(node) {
+            return;
+        }
+        let now = self.clock(node);
+        self.nodes[node].see_store(now, write_ended);
+        let (version, view) = self.store.clone();
+        if version > 0 {
+            let actions = self.nodes[node].see_view(now, version, view);
+            self.carry_out(node, actions);
+        }
+    }
+
+    pub fn pulse(&mut self, node: usize) {
+        if self.is_running(node) {
+            let now = self.clock(node);
+            let actions = self.nodes[node].pulse(now);
+            self.carry_out(node, actions);
+        }
+    }
+
+    pub fn arrive(&mut self, node: usize, request: SlotRequest) {
+        let now = self.clock(node);
+        let actions = self.nodes[node].admit(now, SERVICE, request);
+        self.carry_out(node, actions);
+    }
+
+    /// Ends the work at a position; its instance learns of it when it runs.
+    pub fn end_work(&mut self, position: usize) {
+        let work = self.work.swap_remove(position);
+        if self.is_running(work.node) {
+            let now = self.clock(work.node);
+            let result = ExchangeResult::Answered;
+            let latency = Duration::from_millis(10);
+            let actions = self.nodes[work.node].finish(now, SERVICE, work.id, result, latency);
+            self.carry_out(work.node, actions);
+        }
+    }
+
+    /// The upstream ends work whose deadline has come.
+    pub fn end_overdue(&mut self) {
+        while let Some(position) = self.work.iter().position(|work| work.until <= self.now) {
+            self.end_work(position);
+        }
+    }
+
+    /// Lets `millis` pass in steps, delivering everything in order.
+    pub fn run_calm(&mut self, millis: u64) {
+        for _ in 0..millis / 100 {
+            self.now += 100_000;
+            self.end_overdue();
+            for node in 0..self.nodes.len() {
+                self.show_store(node, false);
+                self.pulse(node);
+            }
+            self.settle();
+        }
+    }
+
+    /// Delivers until nothing is on its way.
+    pub fn settle(&mut self) {
+        loop {
+            if let Some(envelope) = self.network.pop_front() {
+                self.deliver(envelope);
+            } else if let Some(write) = self.writes.pop_front() {
+                if self.is_store_up {
+                    self.apply(write, true);
+                } else if self.is_running(write.from) {
+                    self.nodes[write.from].lose_write();
+                }
+            } else {
+                return;
+            }
+        }
+    }
+}
+
+fn member(index: usize, incarnation: IncarnationId, table: &RouteTable) -> GroupMember {
+    let domains = &table.regions[0].domains;
+    GroupMember {
+        instance: format!("e{index}"),
+        incarnation,
+        address: SocketAddr::from(([127, 0, 0, 1], 100 + u16::try_from(index).unwrap())),
+        peer_address: SocketAddr::from(([127, 0, 0, 1], 200 + u16::try_from(index).unwrap())),
+        domain: domains[index % domains.len()].clone(),
+        committee: LeaseCommittee::new(),
+        is_leaving: false,
+    }
+}
--- /dev/null
+++ b/crates/jackdawmux_rules/src/lib.rs
@@ -0,0 +1,41 @@
+//! The rules file: one rule a line, each with a comment naming who asked for it.
+//!
+//! [`parse_rules`] turns the bytes of a file into a checked [`RulesFile`] or into diagnostics
+//! that point at file, line and column and say how to mend the mistake. Nothing is accepted in
+//! part: a file with one mistake yields no rules at all.
+
+mod check;
+mod diagnostic;
+mod lexer;
+mod operand;
+mod rule;
+mod source;
+mod statement;
+
+pub use diagnostic::{RuleDiagnostic, render_diagnostics};
+pub use rule::{RuleKind, RuleLine, RulesFile};
+pub use source::MAX_FILE_BYTES;
+
+use diagnostic::DiagnosticSink;
+
+/// Parses and checks a whole file.
+///
+/// # Errors
+/// All mistakes found, in the order of their lines.
+pub fn parse_rules(name: &str, bytes: &[u8]) -> Result<RulesFile, Vec<RuleDiagnostic>> {
+    let mut sink = DiagnosticSink::new(name);
+    let Some(text) = source::decode(bytes, &mut sink) else {
+        return Err(sink.into_diagnostics());
+    };
+    let mut lines = Vec::new();
+    for (index, line) in text.lines().enumerate() {
+        sink.enter_line(index + 1, line);
+        if let Some(parsed) = statement::parse_line(line, index + 1, &mut sink) {
+            lines.push(parsed);
+        }
+    }
+    let file = RulesFile { lines };
+    check::check_rules(&file, text, &mut sink);
+    let diagnostics = sink.into_diagnostics();
+    if diagnostics.is_empty() { Ok(file) } else { Err(diagnostics) }
+}
--- /dev/null
+++ b/crates/jackdawmux_rules/src/rule.rs
@@ -0,0 +1,174 @@
+//! Parsed rules and their compilation into a route table.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jackdawmux_policy::shift::ShiftPlan;
+use jackdawmux_policy::table::{
+    EndpointSpec, LinkSpec, OperationSpec, RegionSpec, RepeatRule, RequestPriority, RouteTable,
+    ServiceSpec,
+};
+use smallvec::SmallVec;
+
+/// What one rule says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RuleKind {
+    /// A region with its failure domains.
+    Region {
+        /// Name of the region.
+        name: String,
+        /// Its failure domains.
+        domains: SmallVec<[String; 4]>,
+    },
+    /// A link between two regions.
+    Link {
+        /// The two regions.
+        regions: [String; 2],
+        /// Bandwidth each way in bits per second.
+        bits_per_second: u64,
+        /// One-way delay.
+        delay: Duration,
+    },
+    /// Endpoints of a service in one failure domain.
+    Upstream {
+        /// Name of the service.
+        service: String,
+        /// Where the endpoints listen.
+        addresses: Vec<SocketAddr>,
+        /// Their failure domain.
+        domain: String,
+        /// Requests that each may run at once.
+        slots: u32,
+        /// Connections that each may hold.
+        connections: u32,
+    },
+    /// An operation of a service.
+    Operation {
+        /// Name of the service.
+        service: String,
+        /// HTTP method.
+        method: String,
+        /// Path prefix.
+        prefix: String,
+        /// Importance.
+        priority: RequestPriority,
+        /// Whether repeats are allowed.
+        repeat: RepeatRule,
+        /// Longest time from arrival to the end of the work.
+        timeout: Duration,
+    },
+    /// A planned shift of traffic.
+    Shift(ShiftPlan),
+    /// Endpoints that take no new work.
+    DrainUpstream {
+        /// The endpoints.
+        addresses: Vec<SocketAddr>,
+    },
+    /// A failure domain whose endpoints take no new work.
+    DrainDomain {
+        /// The failure domain.
+        domain: String,
+    },
+}
+
+/// One rule with its line and the comment naming who asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RuleLine {
+    /// Line in the file, counted from 1.
+    pub line: usize,
+    /// What it says.
+    pub kind: RuleKind,
+    /// The comment.
+    pub comment: String,
+}
+
+/// All rules of a checked file.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RulesFile {
+    /// Rules in the order of the file.
+    pub lines: Vec<RuleLine>,
+}
+
+impl RulesFile {
+    /// Compiles the rules into the table that decisions read.
+    #[must_use]
+    pub fn compile(&self) -> RouteTable {
+        let mut table = RouteTable::default();
+        for rule in &self.lines {
+            add_rule(&mut table, &rule.kind);
+        }
+        self.apply_drains(&mut table);
+        table
+    }
+
+    fn apply_drains(&self, table: &mut RouteTable) {
+        let mut addresses: BTreeSet<SocketAddr> = BTreeSet::new();
+        let mut domains = BTreeSet::new();
+        for rule in &self.lines {
+            match &rule.kind {
+                RuleKind::DrainUpstream { addresses: drained } => addresses.extend(drained),
+                RuleKind::DrainDomain { domain } => {
+                    domains.insert(domain.as_str());
+                }
+                RuleKind::Region { .. }
+                | RuleKind::Link { .. }
+                | RuleKind::Upstream { .. }
+                | RuleKind::Operation { .. }
+                | RuleKind::Shift(_) => {}
+            }
+        }
+        let endpoints = table.services.iter_mut().flat_map(|service| &mut service.endpoints);
+        for endpoint in endpoints {
+            endpoint.is_draining =
+                addresses.contains(&endpoint.address) || domains.contains(endpoint.domain.as_str());
+        }
+    }
+}
+
+fn add_rule(table: &mut RouteTable, kind: &RuleKind) {
+    match kind {
+        RuleKind::Region { name, domains } => {
+            table.regions.push(RegionSpec { name: name.clone(), domains: domains.clone() });
+        }
+        RuleKind::Link { regions, bits_per_second, delay } => table.links.push(LinkSpec {
+            regions: regions.clone(),
+            bits_per_second: *bits_per_second,
+            delay: *delay,
+        }),
+        RuleKind::Upstream { service, addresses, domain, slots, connections } => {
+            let endpoints = addresses.iter().map(|address| EndpointSpec {
+                address: *address,
+                domain: domain.clone(),
+                slots: *slots,
+                connections: *connections,
+                is_draining: false,
+            });
+            service_entry(table, service).endpoints.extend(endpoints);
+        }
+        RuleKind::Operation { service, method, prefix, priority, repeat, timeout } => {
+            service_entry(table, service).operations.push(OperationSpec {
+                method: method.clone(),
+                prefix: prefix.clone(),
+                priority: *priority,
+                repeat: *repeat,
+                timeout: *timeout,
+            });
+        }
+        RuleKind::Shift(plan) => table.shifts.push(plan.clone()),
+        RuleKind::DrainUpstream { .. } | RuleKind::DrainDomain { .. } => {}
+    }
+}
+
+fn service_entry<'table>(table: &'table mut RouteTable, name: &str) -> &'table mut ServiceSpec {
+    if let Some(index) = table.services.iter().position(|service| service.name == name) {
+        return &mut table.services[index];
+    }
+    table.services.push(ServiceSpec {
+        name: name.to_owned(),
+        operations: Vec::new(),
+        endpoints: Vec::new(),
+    });
+    let last = table.services.len() - 1;
+    &mut table.services[last]
+}
--- /dev/null
+++ b/crates/jackdawmux_standins/src/upstream.rs
@@ -0,0 +1,326 @@
+//! Stand-in for one upstream endpoint, with slots, service times and faults.
+//!
+//! It counts what it runs, by request id and by idempotency key, so that a test can tell whether
+//! anything ran twice and whether its slots were ever exceeded.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use axum::body::Body;
+use axum::extract::{Request, State};
+use axum::http::{HeaderMap, HeaderValue, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use http_body_util::BodyExt;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde::{Deserialize, Serialize};
+
+use crate::serve::{ConnectionCutter, ServerHandle};
+
+/// Marks a request that crashes the upstream that runs it.
+pub const CRASH_HEADER: &str = "standin-crash";
+/// Factor on the service time right after a cold start.
+const COLD_FACTOR: f64 = 3.0;
+
+/// Behaviour of the endpoint.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default)]
+pub struct UpstreamSettings {
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Mean service time in milliseconds.
+    pub service_ms: f64,
+    /// Whether service times vary (log-normal) or are all the mean.
+    pub is_varied: bool,
+    /// Requests after the start that run slower.
+    pub cold_requests: u64,
+    /// Refuse every request without running it.
+    pub is_draining: bool,
+    /// Refuse requests above the slots; otherwise run and count them as an overload.
+    pub sheds: bool,
+    /// Load that is reported instead of the true one, in percent.
+    pub lying_load: Option<u32>,
+    /// Health that is reported instead of the true one.
+    pub lying_health: Option<bool>,
+    /// Accept requests and never answer.
+    pub is_stuck: bool,
+    /// Run requests but cut the connection half way through the answer.
+    pub cuts_answers: bool,
+}
+
+impl Default for UpstreamSettings {
+    fn default() -> Self {
+        Self {
+            slots: 6,
+            service_ms: 10.0,
+            is_varied: false,
+            cold_requests: 0,
+            is_draining: false,
+            sheds: true,
+            lying_load: None,
+            lying_health: None,
+            is_stuck: false,
+            cuts_answers: false,
+        }
+    }
+}
+
+/// What the endpoint has seen.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct UpstreamCounts {
+    /// Requests begun.
+    pub begun: u64,
+    /// Requests ended with an answer.
+    pub answered: u64,
+    /// Requests whose sender went away while they ran.
+    pub cancelled: u64,
+    /// Requests refused without running.
+    pub shed: u64,
+    /// Requests that came after their absolute deadline.
+    pub late: u64,
+    /// Most requests at once.
+    pub peak: u32,
+    /// Requests running now.
+    pub running: u32,
+    /// Times at which more ran than the slots allow.
+    pub overloads: u64,
+    /// Deaths for a crashing request.
+    pub deaths: u64,
+    /// Runs by idempotency key.
+    pub runs_by_key: HashMap<String, u64>,
+}
+
+#[derive(Debug)]
+struct UpstreamState {
+    settings: UpstreamSettings,
+    counts: UpstreamCounts,
+    generator: StdRng,
+    cutter: ConnectionCutter,
+}
+
+type UpstreamShared = Arc<Mutex<UpstreamState>>;
+
+/// A running endpoint.
+#[derive(Debug)]
+pub struct UpstreamStandin {
+    /// Where it listens.
+    pub address: SocketAddr,
+    server: ServerHandle,
+    shared: UpstreamShared,
+}
+
+impl UpstreamStandin {
+    /// Binds `listen` with the given behaviour; `seed` fixes its service times.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn bind(
+        listen: SocketAddr,
+        settings: UpstreamSettings,
+        seed: u64,
+    ) -> io::Result<Self> {
+        let cutter = ConnectionCutter::default();
+        let shared = Arc::new(Mutex::new(UpstreamState {
+            cutter: cutter.clone(),
+            settings,
+            counts: UpstreamCounts::default(),
+            generator: StdRng::seed_from_u64(seed),
+        }));
+        let router = Router::new()
+            .route("/standin/settings", post(set_settings))
+            .route("/standin/counts", get(read_counts))
+            .route("/health", get(read_health))
+            .route("/load", get(read_load))
+            .fallback(run_request)
+            .with_state(Arc::clone(&shared));
+        let server = ServerHandle::bind_with(listen, router, cutter).await?;
+        Ok(Self { address: server.address, server, shared })
+    }
+
+    /// What it has seen so far.
+    #[must_use]
+    pub fn counts(&self) -> UpstreamCounts {
+        lock(&self.shared).counts.clone()
+    }
+
+    /// Changes its behaviour from now on.
+    pub fn change(&self, edit: impl FnOnce(&mut UpstreamSettings)) {
+        edit(&mut lock(&self.shared).settings);
+    }
+
+    /// Waits until the server ends.
+    pub async fn ended(self) {
+        self.server.ended().await;
+    }
+}
+
+fn lock(shared: &UpstreamShared) -> MutexGuard<'_, UpstreamState> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Counts a request as running until it is dropped, also when its sender goes away.
+struct RunningSlot {
+    shared: UpstreamShared,
+    is_answered: bool,
+}
+
+impl Drop for RunningSlot {
+    fn drop(&mut self) {
+        let mut state = lock(&self.shared);
+        state.counts.running -= 1;
+        if self.is_answered {
+            state.counts.answered += 1;
+        } else {
+            state.counts.cancelled += 1;
+        }
+    }
+}
+
+async fn run_request(State(shared): State<UpstreamShared>, request: Request) -> Response {
+    let (parts, body) = request.into_parts();
+    if is_late(&parts.headers) {
+        lock(&shared).counts.late += 1;
+        return refusal();
+    }
+    let Some((mut slot, service, settings)) = begin(&shared, &parts.headers) else {
+        return refusal();
+    };
+    let Ok(body) = body.collect().await else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    if parts.headers.contains_key(CRASH_HEADER) {
+        return crash(&shared).await;
+    }
+    if settings.is_stuck {
+        std::future::pending::<()>().await;
+    }
+    let limit = time_left(&parts.headers).unwrap_or(service);
+    if limit < service {
+        tokio::time::sleep(limit).await;
+        return StatusCode::GATEWAY_TIMEOUT.into_response();
+    }
+    tokio::time::sleep(service).await;
+    slot.is_answered = true;
+    let request_id = parts.headers.get("jackdaw-request-id").cloned();
+    answer(&parts.uri.to_string(), &body.to_bytes(), request_id, settings.cuts_answers)
+}
+
+fn begin(
+    shared: &UpstreamShared,
+    headers: &HeaderMap,
+) -> Option<(RunningSlot, Duration, UpstreamSettings)> {
+    let mut guard = lock(shared);
+    let state = &mut *guard;
+    let settings = state.settings.clone();
+    let is_over = state.counts.running >= settings.slots;
+    if is_over {
+        state.counts.overloads += 1;
+    }
+    if settings.is_draining || (is_over && settings.sheds) {
+        state.counts.shed += 1;
+        return None;
+    }
+    state.counts.begun += 1;
+    state.counts.running += 1;
+    state.counts.peak = state.counts.peak.max(state.counts.running);
+    if let Some(key) = headers.get("idempotency-key").and_then(|value| value.to_str().ok()) {
+        *state.counts.runs_by_key.entry(key.to_owned()).or_default() += 1;
+    }
+    let is_cold = state.counts.begun <= settings.cold_requests;
+    let factor = if is_cold { COLD_FACTOR } else { 1.0 };
+    let varied = if settings.is_varied { lognormal(&mut state.generator) } else { 1.0 };
+    let service = Duration::from_secs_f64(settings.service_ms * factor * varied / 1e3);
+    drop(guard);
+    Some((RunningSlot { shared: Arc::clone(shared), is_answered: false }, service, settings))
+}
+
+/// A log-normal sample of mean 1 and shape 0.5.
+fn lognormal(generator: &mut StdRng) -> f64 {
+    const SHAPE: f64 = 0.5;
+    let uniform: f64 = generator.random::<f64>().max(f64::MIN_POSITIVE);
+    let angle: f64 = generator.random::<f64>() * std::f64::consts::TAU;
+    let normal = (-2.0 * uniform.ln()).sqrt() * angle.cos();
+    (SHAPE * normal - SHAPE * SHAPE / 2.0).exp()
+}
+
+fn refusal() -> Response {
+    let outcome = [("jackdaw-outcome", "not-run")];
+    (StatusCode::SERVICE_UNAVAILABLE, outcome).into_response()
+}
+
+/// Cuts all connections without an answer, as a crashed process would.
+async fn crash(shared: &UpstreamShared) -> Response {
+    {
+        let mut state = lock(shared);
+        state.counts.deaths += 1;
+        state.cutter.cut();
+    }
+    std::future::pending().await
+}
+
+fn broken_body(first: Vec<u8>) -> Response {
+    let chunks = futures_util::stream::iter([
+        Ok(first),
+        Err(io::Error::other("connection cut by the stand-in")),
+    ]);
+    Body::from_stream(chunks).into_response()
+}
+
+fn answer(uri: &str, body: &[u8], request_id: Option<HeaderValue>, is_cut: bool) -> Response {
+    let text = format!("{{\"uri\":\"{uri}\",\"received\":{}}}\n", body.len());
+    if is_cut {
+        let half = text.len() / 2;
+        return broken_body(text.into_bytes()[..half].to_vec());
+    }
+    let mut response = text.into_response();
+    if let Some(id) = request_id {
+        response.headers_mut().insert("jackdaw-request-id", id);
+    }
+    response
+}
+
+fn is_late(headers: &HeaderMap) -> bool {
+    let at = read_number(headers, "jackdaw-deadline-at");
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    at.is_some_and(|at| u128::from(at) <= now.as_millis())
+}
+
+fn time_left(headers: &HeaderMap) -> Option<Duration> {
+    read_number(headers, "jackdaw-deadline-ms").map(Duration::from_millis)
+}
+
+fn read_number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+async fn set_settings(
+    State(shared): State<UpstreamShared>,
+    Json(settings): Json<UpstreamSettings>,
+) {
+    lock(&shared).settings = settings;
+}
+
+async fn read_counts(State(shared): State<UpstreamShared>) -> Json<UpstreamCounts> {
+    Json(lock(&shared).counts.clone())
+}
+
+async fn read_health(State(shared): State<UpstreamShared>) -> StatusCode {
+    let state = lock(&shared);
+    let is_healthy = state
+        .settings
+        .lying_health
+        .unwrap_or(!state.settings.is_draining && !state.settings.is_stuck);
+    if is_healthy { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
+}
+
+async fn read_load(State(shared): State<UpstreamShared>) -> String {
+    let state = lock(&shared);
+    let slots = state.settings.slots.max(1);
+    let percent = state.settings.lying_load.unwrap_or(state.counts.running * 100 / slots);
+    percent.to_string()
+}
