Leases, slots and keys proved under an adversarial schedule; a removed holder gets no promise

Cause: with freezes, the schedule found 3 requests at once on 2 slots (slots.rs, case freezes). An instance that had been taken over while it was paused came back with its old view and was given new promises: a committee member forgets vows against a holder as soon as the view no longer names it, so nothing kept it from promising again.

Ruled out: late sends (the upstream refuses them by their absolute deadline), loans (all returned or lapsed in the trace), a double write (the store's versions were in order).

Before: case freezes red after 53 s of virtual time. Exhaustive models: lease 307,008 and 372,620 states, keys 405,231 states, no violation.

Shown failing by mutation of the guard: lease not checked, reclaim without the longest work, duplicated grant used again, promise to a removed holder, no wait after a takeover, hand-over while in use, lending without subtracting (slots.rs); vow while a promise stands (lease_model.rs). Conclusion: a promise is refused to a holder that the giver's view no longer names.

--- a/crates/jackdawmux_entry/tests/support/mod.rs
+++ b/crates/jackdawmux_entry/tests/support/mod.rs
@@ -115,7 +115,7 @@
     /// Starts everything, accepts the rules and waits until they are in force and every endpoint
     /// has an owner.
     pub async fn start(name: &str, size: SystemSize) -> Self {
-        let mut system = Self::start_bare(name, size);
+        let system = Self::start_bare(name, size);
         let rules = system.rules(size);
         system.accept(&rules, &[]);
         system.wait_settled(size.endpoints).await;
--- a/crates/jackdawmux_policy/src/lease.rs
+++ b/crates/jackdawmux_policy/src/lease.rs
@@ -11,7 +11,7 @@
 //! shows a higher version: by then the taker's update has either taken effect, which the holder
 //! has seen, or can no longer do so.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use smallvec::SmallVec;
@@ -38,7 +38,7 @@
 }
 
 /// Spans of the lease protocol.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LeaseSettings {
     /// Validity of a promise, counted by the holder from when it asked.
     pub promise_ttl: Duration,
@@ -47,20 +47,20 @@
 }
 
 /// A committee whose storing was asked for, with the version that the update builds on.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct PendingCommittee {
     base: u64,
     committee: LeaseCommittee,
 }
 
 /// The holder's side: when its lease ends.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct LeaseHolder {
     settings: LeaseSettings,
     committee: LeaseCommittee,
     candidate: LeaseCommittee,
     pending: SmallVec<[PendingCommittee; 2]>,
-    promised: HashMap<IncarnationId, PolicyTime>,
+    promised: BTreeMap<IncarnationId, PolicyTime>,
 }
 
 impl LeaseHolder {
@@ -72,7 +72,7 @@
             committee: LeaseCommittee::new(),
             candidate: LeaseCommittee::new(),
             pending: SmallVec::new(),
-            promised: HashMap::new(),
+            promised: BTreeMap::new(),
         }
     }
 
@@ -157,19 +157,19 @@
 }
 
 /// The committee member's side: promises and vows made to each holder.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct PromiseGiver {
     settings: LeaseSettings,
-    asked: HashMap<IncarnationId, PolicyTime>,
-    last: HashMap<IncarnationId, PolicyTime>,
-    vows: HashMap<IncarnationId, u64>,
+    asked: BTreeMap<IncarnationId, PolicyTime>,
+    last: BTreeMap<IncarnationId, PolicyTime>,
+    vows: BTreeMap<IncarnationId, u64>,
 }
 
 impl PromiseGiver {
     /// A member that has promised nothing.
     #[must_use]
     pub fn new(settings: LeaseSettings) -> Self {
-        Self { settings, asked: HashMap::new(), last: HashMap::new(), vows: HashMap::new() }
+        Self { settings, asked: BTreeMap::new(), last: BTreeMap::new(), vows: BTreeMap::new() }
     }
 
     /// A holder that has seen version `seen` of the view asks for a promise.
@@ -210,7 +210,7 @@
 }
 
 /// The taker's side: one attempt to take over a silent holder's endpoints.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct TakeoverBid {
     /// The silent holder.
     pub holder: IncarnationId,
--- a/crates/jackdawmux_policy/src/membership.rs
+++ b/crates/jackdawmux_policy/src/membership.rs
@@ -204,7 +204,7 @@
     ) {
         match message {
             SteeringMessage::PromiseAsk { asked_at, seen } => {
-                if self.giver.promise(now, peer, *seen) {
+                if !self.was_removed(peer, *seen) && self.giver.promise(now, peer, *seen) {
                     let answer = SteeringMessage::PromiseGiven { asked_at: *asked_at };
                     actions.push(MembershipAction::Send(peer, answer));
                 }
@@ -270,6 +270,12 @@
         Some((self.version, view))
     }
 
+    /// Whether a holder that has seen no more than this instance was taken out of the view. The
+    /// vows against it ended with its removal, so this alone keeps it from a new promise.
+    fn was_removed(&self, holder: IncarnationId, seen: u64) -> bool {
+        seen <= self.version && self.view.member(holder).is_none()
+    }
+
     fn note_lease(&mut self, now: PolicyTime, actions: &mut Vec<MembershipAction>) {
         let is_leased = self.is_member && now < self.lease_until();
         if is_leased != self.was_leased {
--- a/crates/jackdawmux_policy/src/once.rs
+++ b/crates/jackdawmux_policy/src/once.rs
@@ -6,7 +6,7 @@
 //! could still be accepted; when the register is full, new keys are refused rather than old ones
 //! forgotten early.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::clock::PolicyTime;
@@ -18,7 +18,7 @@
 pub struct KeyDigest(pub [u8; 16]);
 
 /// Bounds of a register.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct OnceSettings {
     /// Time for which an ended key is remembered.
     pub retention: Duration,
@@ -71,11 +71,11 @@
 }
 
 /// Keys known to this process.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct OnceRegister<A> {
     settings: OnceSettings,
-    entries: HashMap<KeyDigest, KeyEntry<A>>,
-    by_end: BTreeMap<(PolicyTime, KeyDigest), ()>,
+    entries: BTreeMap<KeyDigest, KeyEntry<A>>,
+    by_end: BTreeSet<(PolicyTime, KeyDigest)>,
     answer_bytes: usize,
 }
 
@@ -83,7 +83,7 @@
     /// An empty register.
     #[must_use]
     pub fn new(settings: OnceSettings) -> Self {
-        Self { settings, entries: HashMap::new(), by_end: BTreeMap::new(), answer_bytes: 0 }
+        Self { settings, entries: BTreeMap::new(), by_end: BTreeSet::new(), answer_bytes: 0 }
     }
 
     /// Number of keys remembered.
@@ -166,11 +166,11 @@
         };
         entry.state = state;
         entry.forget_at = entry.forget_at.max(now + self.settings.retention);
-        self.by_end.insert((entry.forget_at, key), ());
+        self.by_end.insert((entry.forget_at, key));
     }
 
     fn forget_ended(&mut self, now: PolicyTime) {
-        while let Some(((end, key), ())) = self.by_end.first_key_value().map(|(k, v)| (*k, *v)) {
+        while let Some((end, key)) = self.by_end.first().copied() {
             if end > now {
                 return;
             }
--- /dev/null
+++ b/crates/jackdawmux_policy/tests/once_model.rs
@@ -0,0 +1,310 @@
+//! Exhaustive model of "at most once" for callers' own keys.
+//!
+//! Two entries, two keys that fall into one shard, one store. Callers send each key to any entry,
+//! at the same moment or later. A store call may take effect long after its sender gave up on it,
+//! its answer may be lost, and a read may show the object before its last update. A process may
+//! pause anywhere, which is the same as acting later, and one entry may be replaced by a new
+//! process that remembers nothing.
+
+#[path = "support/explore.rs"]
+mod explore;
+
+use std::collections::BTreeSet;
+
+use explore::explore;
+use jackdawmux_policy::claim::{
+    ClaimAction, ClaimActions, ClaimRecord, ClaimReply, ClaimSettings, ClaimShard, ClaimVerdict,
+    ClaimWriter,
+};
+use jackdawmux_policy::clock::PolicyTime;
+use jackdawmux_policy::identity::IncarnationId;
+use jackdawmux_policy::once::{BeginVerdict, KeyDigest, OnceEnd, OnceRegister, OnceSettings};
+
+const KEYS: usize = 2;
+const NOW: PolicyTime = PolicyTime(1);
+const NOW_MS: u64 = 1;
+const CLAIMS: ClaimSettings =
+    ClaimSettings { retention_ms: 1_000_000, claim_limit: 100, batch_limit: 10 };
+
+fn once_settings() -> OnceSettings {
+    OnceSettings {
+        retention: std::time::Duration::from_secs(1_000),
+        key_limit: 100,
+        answer_bytes_limit: 1_000,
+    }
+}
+
+fn key(index: usize) -> KeyDigest {
+    KeyDigest([u8::try_from(index).unwrap(); 16])
+}
+
+fn index_of(key: KeyDigest) -> usize {
+    usize::from(key.0[0])
+}
+
+/// What an entry does with one key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum KeyStage {
+    Idle,
+    Claiming,
+    /// The claim is won; the request may be sent at any later time.
+    Ready,
+    /// The request is at the upstream.
+    Sent,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Entry {
+    register: OnceRegister<u8>,
+    writer: ClaimWriter,
+    stages: [KeyStage; KEYS],
+}
+
+impl Entry {
+    fn new(id: u64) -> Self {
+        Self {
+            register: OnceRegister::new(once_settings()),
+            writer: ClaimWriter::new(IncarnationId(id)),
+            stages: [KeyStage::Idle; KEYS],
+        }
+    }
+}
+
+/// A store call on its way.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Call {
+    /// The caller and its process; an answer to an earlier process goes nowhere.
+    entry: usize,
+    process: u64,
+    write: Option<(u64, Vec<(KeyDigest, u64)>)>,
+    /// Whether the sender still waits for the answer.
+    is_awaited: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    entries: [Entry; 2],
+    processes: [u64; 2],
+    version: u64,
+    shard: ClaimShard,
+    previous: ClaimShard,
+    calls: BTreeSet<Call>,
+    /// How often each key ran.
+    runs: [u8; KEYS],
+    /// How often a key was told "not run" after it had run.
+    false_not_run: u8,
+    arrivals: u8,
+    lost_answers: u8,
+    old_reads: u8,
+    replacements: u8,
+}
+
+#[derive(Clone, Copy)]
+struct Scope {
+    arrivals: u8,
+    lost_answers: u8,
+    old_reads: u8,
+    replacements: u8,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            entries: [Entry::new(10), Entry::new(20)],
+            processes: [10, 20],
+            version: 0,
+            shard: ClaimShard::default(),
+            previous: ClaimShard::default(),
+            calls: BTreeSet::new(),
+            runs: [0; KEYS],
+            false_not_run: 0,
+            arrivals: 0,
+            lost_answers: 0,
+            old_reads: 0,
+            replacements: 0,
+        }
+    }
+
+    fn following(&self, scope: Scope) -> Vec<Self> {
+        let mut all = Vec::new();
+        let mut with = |change: &dyn Fn(&mut Self)| {
+            let mut world = self.clone();
+            change(&mut world);
+            all.push(world);
+        };
+        for entry in 0..2 {
+            for index in 0..KEYS {
+                if self.arrivals < scope.arrivals {
+                    with(&|world| world.arrive(entry, index));
+                }
+                match self.entries[entry].stages[index] {
+                    KeyStage::Idle => {}
+                    KeyStage::Claiming => with(&|world| world.give_up(entry, index)),
+                    KeyStage::Ready => {
+                        with(&|world| world.send(entry, index));
+                        with(&|world| world.give_up(entry, index));
+                    }
+                    KeyStage::Sent => {
+                        with(&|world| world.end(entry, index, OnceEnd::Ran(Some((7, 1)))));
+                        with(&|world| world.end(entry, index, OnceEnd::Unknown));
+                    }
+                }
+            }
+            if self.replacements < scope.replacements {
+                with(&|world| world.replace(entry));
+            }
+        }
+        for call in &self.calls {
+            with(&|world| world.answer(call, true, false));
+            if call.is_awaited && self.lost_answers < scope.lost_answers {
+                with(&|world| world.answer(call, false, false));
+                with(&|world| world.abandon(call));
+            }
+            if call.write.is_none() && self.old_reads < scope.old_reads {
+                with(&|world| world.answer(call, true, true));
+            }
+        }
+        all
+    }
+
+    fn arrive(&mut self, entry: usize, index: usize) {
+        self.arrivals += 1;
+        let verdict = self.entries[entry].register.begin(NOW, key(index), PolicyTime(1_000_000));
+        match verdict {
+            BeginVerdict::Run => {
+                self.entries[entry].stages[index] = KeyStage::Claiming;
+                let actions = self.entries[entry].writer.wish(&CLAIMS, NOW_MS, key(index));
+                self.carry_out(entry, actions);
+            }
+            BeginVerdict::Join
+            | BeginVerdict::Replay(_)
+            | BeginVerdict::AnswerDropped
+            | BeginVerdict::Unknown
+            | BeginVerdict::Full => {}
+        }
+    }
+
+    fn carry_out(&mut self, entry: usize, actions: ClaimActions) {
+        for action in actions {
+            let process = self.processes[entry];
+            match action {
+                ClaimAction::Read => {
+                    self.calls.insert(Call { entry, process, write: None, is_awaited: true });
+                }
+                ClaimAction::Write { expected, content } => {
+                    let claims = content.claims.iter().map(|(k, r)| (*k, r.claimant.0)).collect();
+                    let write = Some((expected, claims));
+                    self.calls.insert(Call { entry, process, write, is_awaited: true });
+                }
+                ClaimAction::Decide(decided, verdict) => {
+                    let index = index_of(decided);
+                    if self.entries[entry].stages[index] != KeyStage::Claiming {
+                        continue;
+                    }
+                    match verdict {
+                        ClaimVerdict::Won => {
+                            self.entries[entry].stages[index] = KeyStage::Ready;
+                        }
+                        ClaimVerdict::Held(_) => self.end(entry, index, OnceEnd::Unknown),
+                        ClaimVerdict::Full => self.end(entry, index, OnceEnd::NotRun),
+                    }
+                }
+            }
+        }
+    }
+
+    /// The request is given up on before it was sent: its caller is told "not run".
+    fn give_up(&mut self, entry: usize, index: usize) {
+        self.entries[entry].writer.give_up(key(index));
+        self.end(entry, index, OnceEnd::NotRun);
+    }
+
+    fn send(&mut self, entry: usize, index: usize) {
+        if self.entries[entry].register.mark_sent(key(index)) {
+            self.entries[entry].stages[index] = KeyStage::Sent;
+            self.runs[index] += 1;
+        }
+    }
+
+    fn end(&mut self, entry: usize, index: usize, end: OnceEnd<u8>) {
+        let was_sent = self.entries[entry].stages[index] == KeyStage::Sent;
+        if was_sent && end == OnceEnd::NotRun {
+            self.false_not_run += 1;
+        }
+        self.entries[entry].stages[index] = KeyStage::Idle;
+        self.entries[entry].register.end(NOW, key(index), end);
+    }
+
+    fn replace(&mut self, entry: usize) {
+        self.replacements += 1;
+        self.processes[entry] += 1;
+        self.entries[entry] = Entry::new(self.processes[entry]);
+    }
+
+    /// The store carries out a call; `hears` when its sender gets the answer.
+    fn answer(&mut self, call: &Call, hears: bool, shows_old: bool) {
+        self.calls.remove(call);
+        self.old_reads += u8::from(shows_old);
+        let reply = match &call.write {
+            None if shows_old => {
+                ClaimReply::Content(self.version.saturating_sub(1), self.previous.clone())
+            }
+            None => ClaimReply::Content(self.version, self.shard.clone()),
+            Some((expected, claims)) if *expected == self.version => {
+                self.previous = std::mem::take(&mut self.shard);
+                self.shard = shard_of(claims);
+                self.version += 1;
+                ClaimReply::Written(self.version)
+            }
+            Some(_) => ClaimReply::Conflict,
+        };
+        if !call.is_awaited || call.process != self.processes[call.entry] {
+            return;
+        }
+        let reply = if hears { reply } else { self.lose(call) };
+        let actions = self.entries[call.entry].writer.reply(&CLAIMS, NOW_MS, reply);
+        self.carry_out(call.entry, actions);
+    }
+
+    /// The sender stops waiting; the call may still take effect later.
+    fn abandon(&mut self, call: &Call) {
+        self.calls.remove(call);
+        let reply = self.lose(call);
+        if call.write.is_some() {
+            self.calls.insert(Call { is_awaited: false, ..call.clone() });
+        }
+        if call.process == self.processes[call.entry] {
+            let actions = self.entries[call.entry].writer.reply(&CLAIMS, NOW_MS, reply);
+            self.carry_out(call.entry, actions);
+        }
+    }
+
+    fn lose(&mut self, call: &Call) -> ClaimReply {
+        self.lost_answers += 1;
+        if call.write.is_some() { ClaimReply::Unsure } else { ClaimReply::ReadFailed }
+    }
+
+    fn check(&self) {
+        assert!(self.runs.iter().all(|runs| *runs <= 1), "a key ran twice: {self:#?}");
+        assert_eq!(self.false_not_run, 0, "told not run after it ran: {self:#?}");
+    }
+}
+
+fn shard_of(claims: &[(KeyDigest, u64)]) -> ClaimShard {
+    let mut content = ClaimShard::default();
+    for (key, claimant) in claims {
+        let record = ClaimRecord { claimant: IncarnationId(*claimant), claimed_ms: NOW_MS };
+        content.claims.insert(*key, record);
+    }
+    content
+}
+
+#[rstest::rstest]
+#[case::lost_answers(Scope { arrivals: 3, lost_answers: 2, old_reads: 0, replacements: 0 })]
+#[case::old_reads(Scope { arrivals: 3, lost_answers: 1, old_reads: 1, replacements: 0 })]
+#[case::a_new_process(Scope { arrivals: 3, lost_answers: 1, old_reads: 0, replacements: 1 })]
+fn a_key_runs_at_most_once(#[case] scope: Scope) {
+    let count = explore(World::new(), |world| world.following(scope), World::check);
+    println!("states={count}");
+    assert!(count > 1_000, "only {count} states");
+}
--- a/crates/jackdawmux_policy/tests/support/mod.rs
+++ b/crates/jackdawmux_policy/tests/support/mod.rs
@@ -109,6 +109,12 @@
     pub writes: VecDeque<PendingWrite>,
     pub store: (u64, GroupView),
     pub is_store_up: bool,
+    /// Sends that an instance has decided on and not yet made.
+    pub sends: Vec<RunningWork>,
+    /// Whether sends are made at once.
+    pub sends_at_once: bool,
+    /// Sends that came after their absolute deadline and were refused by the upstream.
+    pub late: usize,
     pub work: Vec<RunningWork>,
     pub peak: BTreeMap<SocketAddr, usize>,
     pub refused: Vec<RequestId>,
@@ -133,6 +139,9 @@
             writes: VecDeque::new(),
             store: (0, GroupView::default()),
             is_store_up: true,
+            sends: Vec::new(),
+            sends_at_once: true,
+            late: 0,
             work: Vec::new(),
             peak: BTreeMap::new(),
             refused: Vec::new(),
@@ -166,10 +175,10 @@
                 SteeringAction::Dispatch { id, endpoint, allowance, .. } => {
                     self.dispatched.push(id);
                     let until = self.now + allowance.as_micros() as u64;
-                    self.work.push(RunningWork { node, id, endpoint, until });
-                    let running = self.work.iter().filter(|work| work.endpoint == endpoint).count();
-                    let peak = self.peak.entry(endpoint).or_default();
-                    *peak = (*peak).max(running);
+                    self.sends.push(RunningWork { node, id, endpoint, until });
+                    if self.sends_at_once {
+                        self.make_send(self.sends.len() - 1);
+                    }
                 }
                 SteeringAction::Refuse { id, .. } => self.refused.push(id),
                 SteeringAction::Send(to, message) => {
@@ -186,6 +195,42 @@
         }
     }
 
+    /// Makes a decided send; the upstream refuses one that comes after its absolute deadline.
+    pub fn make_send(&mut self, position: usize) {
+        let send = self.sends.swap_remove(position);
+        if send.until <= self.now {
+            self.late += 1;
+            self.end_at(&send, ExchangeResult::Shed);
+            return;
+        }
+        let endpoint = send.endpoint;
+        self.work.push(send);
+        let running = self.work.iter().filter(|work| work.endpoint == endpoint).count();
+        let peak = self.peak.entry(endpoint).or_default();
+        *peak = (*peak).max(running);
+    }
+
+    /// Replaces an instance by a new process at the same addresses.
+    pub fn replace(&mut self, node: usize, id: IncarnationId, table: &Arc<RouteTable>) {
+        // What the old process had sent runs on at the upstreams; nobody hears of its end.
+        self.sends.retain(|send| send.node != node);
+        for work in self.work.iter_mut().filter(|work| work.node == node) {
+            work.node = usize::MAX;
+        }
+        self.writes.iter_mut().filter(|write| write.from == node).for_each(|write| {
+            write.from = usize::MAX;
+        });
+        self.network.retain(|envelope| envelope.from != node);
+        self.ids[node] = id;
+        self.is_dead[node] = false;
+        self.is_frozen[node] = false;
+        let settings = SteeringSettings::default();
+        self.nodes[node] = InstanceSteering::new(member(node, id, table), settings);
+        let now = self.clock(node);
+        let actions = self.nodes[node].put_in_force(now, 1, Arc::clone(table));
+        self.carry_out(node, actions);
+    }
+
     pub fn deliver(&mut self, envelope: Envelope) {
         let Some(to) = self.ids.iter().position(|id| *id == envelope.to) else {
             return;
@@ -205,7 +250,7 @@
         if is_current {
             self.store = (write.expected + 1, write.view);
         }
-        if is_answered && self.is_running(write.from) {
+        if is_answered && write.from != usize::MAX && self.is_running(write.from) {
             self.show_store(write.from, true);
         }
     }
@@ -241,9 +286,12 @@
     /// Ends the work at a position; its instance learns of it when it runs.
     pub fn end_work(&mut self, position: usize) {
         let work = self.work.swap_remove(position);
-        if self.is_running(work.node) {
+        self.end_at(&work, ExchangeResult::Answered);
+    }
+
+    fn end_at(&mut self, work: &RunningWork, result: ExchangeResult) {
+        if work.node != usize::MAX && self.is_running(work.node) {
             let now = self.clock(work.node);
-            let result = ExchangeResult::Answered;
             let latency = Duration::from_millis(10);
             let actions = self.nodes[work.node].finish(now, SERVICE, work.id, result, latency);
             self.carry_out(work.node, actions);
@@ -253,7 +301,8 @@
     /// The upstream ends work whose deadline has come.
     pub fn end_overdue(&mut self) {
         while let Some(position) = self.work.iter().position(|work| work.until <= self.now) {
-            self.end_work(position);
+            let work = self.work.swap_remove(position);
+            self.end_at(&work, ExchangeResult::Failed);
         }
     }
 
