--- a/crates/jackdawmux_entry/src/process/launch.rs
+++ b/crates/jackdawmux_entry/src/process/launch.rs
@@ -40,6 +40,8 @@
 const SWEEP_PERIOD: Duration = Duration::from_secs(5);
 /// Frames of peers that wait for the steering actor.
 const PEER_QUEUE: usize = 4_096;
+/// Time for all other instances to learn that this one leaves; until then they may name it.
+const LEAVE_NOTICE: Duration = Duration::from_millis(800);
 /// Longest time for a planned stop after look-ups have run out.
 const LEAVE_LONGEST: Duration = Duration::from_secs(60);
 /// Pause between checks whether everything has ended.
@@ -229,7 +231,7 @@
         if context.steering.tell(StartLeaving).await.is_err() {
             return;
         }
-        tokio::time::sleep(context.settings.lookup_ttl).await;
+        tokio::time::sleep(LEAVE_NOTICE + context.settings.lookup_ttl).await;
         listener.shut_down(LEAVE_LONGEST).await;
         wait_drained(&context).await;
         depart(&context).await;
--- a/crates/jackdawmux_entry/src/process/mod.rs
+++ b/crates/jackdawmux_entry/src/process/mod.rs
@@ -18,7 +18,7 @@
 pub use metrics::EntryMetrics;
 pub use settings::{EntrySettings, SettingMistake, parse_settings, settings_parser};
 pub(crate) use steering::{
-    Admission, AdmitRequest, AskStatus, CancelRequest, FinishRequest, SpendRetry,
+    Admission, AdmitRequest, AskStatus, CancelRequest, FinishRequest, SlotEnd, SpendRetry,
 };
 pub use steering::{EndpointStatus, ServiceStatus, SteeringStatus};
 pub use timeline::{EventLog, TimelineEvent};
--- a/crates/jackdawmux_entry/src/process/steering.rs
+++ b/crates/jackdawmux_entry/src/process/steering.rs
@@ -35,6 +35,9 @@
 /// Bounds of the list of requests that brought endpoints down.
 const POISON: PoisonSettings = PoisonSettings { expiry: Duration::from_secs(600), limit: 10_000 };
 
+/// Time that an endpoint is given to notice a cancellation before its slot is used again.
+const CANCEL_GRACE: Duration = Duration::from_millis(100);
+
 /// A slot given to a request.
 #[derive(Debug)]
 pub(crate) struct Admission {
@@ -73,8 +76,19 @@
     pub(crate) result: ExchangeResult,
     /// Time of the exchange.
     pub(crate) latency: Duration,
-    /// Whether the endpoint closed the connection without an answer while the request ran.
-    pub(crate) is_death: bool,
+    /// What is known of the work at the endpoint.
+    pub(crate) end: SlotEnd,
+}
+
+/// What is known of the work under a slot that is given back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SlotEnd {
+    /// No work is left.
+    Free,
+    /// The exchange was cut; the endpoint ends the work once it notices.
+    Cut,
+    /// The endpoint closed the connection without an answer while the request ran.
+    Dead,
 }
 
 /// A waiting request is no longer wanted.
@@ -349,7 +363,7 @@
                 instance: member.instance.clone(),
                 address: member.address,
                 domain: member.domain.clone(),
-                is_usable: !member.is_leaving && membership.is_alive(now, member.incarnation),
+                is_usable: membership.is_usable(now, member),
             })
             .collect();
         entries.push(DirectoryEntry {
@@ -360,6 +374,10 @@
             is_usable: !membership.is_leaving(),
         });
         entries.sort_by_key(|entry| entry.incarnation);
+        // A connection that its far end is about to close must not carry another request.
+        for entry in entries.iter().filter(|entry| !entry.is_usable) {
+            self.parts.pool.close_idle(entry.address);
+        }
         self.parts.directory.send_if_modified(|directory| {
             let is_changed = directory.entries != entries;
             if is_changed {
@@ -378,7 +396,12 @@
                 self.suspects.learn(self.now(), digest, level);
             }
             FrameBody::Steering(message) => {
+                let seen = self.parts.steering.membership().version();
                 let actions = self.parts.steering.receive(self.now(), peer, message);
+                if self.parts.steering.membership().version() != seen {
+                    // A peer passed on a newer view: link to members not known before.
+                    self.refresh_links();
+                }
                 self.carry_out(actions);
             }
             FrameBody::ConfigAsk { have } => {
@@ -480,9 +503,21 @@
     type Reply = ();
 
     async fn handle(&mut self, message: FinishRequest, _: &mut Context<Self, ()>) {
-        let FinishRequest { service, id, result, latency, is_death } = message;
-        if is_death {
-            self.blame(id);
+        let FinishRequest { service, id, result, latency, end } = message;
+        match end {
+            SlotEnd::Free => {}
+            SlotEnd::Dead => self.blame(id),
+            SlotEnd::Cut => {
+                let later = FinishRequest { service, id, result, latency, end: SlotEnd::Free };
+                let own_ref = self.own_ref.clone();
+                tokio::spawn(async move {
+                    tokio::time::sleep(CANCEL_GRACE).await;
+                    if own_ref.tell(later).await.is_err() {
+                        log::debug!("event=finish-unsent request={}", id.0);
+                    }
+                });
+                return;
+            }
         }
         if let Some((digest, _, was_alone)) = self.digests.remove(&id)
             && was_alone
--- a/crates/jackdawmux_entry/src/request/forward.rs
+++ b/crates/jackdawmux_entry/src/request/forward.rs
@@ -196,7 +196,7 @@
                 if is_closed {
                     guard.finish_dead();
                 } else {
-                    guard.finish(ExchangeResult::Failed);
+                    guard.finish_cut(ExchangeResult::Failed);
                 }
                 TryEnd::Lost { endpoint, domain }
             }
@@ -277,7 +277,7 @@
                 TryEnd::Final(FinalAnswer::Held(Arc::new(stored)))
             }
             None => {
-                guard.finish(ExchangeResult::Failed);
+                guard.finish_cut(ExchangeResult::Failed);
                 TryEnd::Lost { endpoint, domain }
             }
         }
--- a/crates/jackdawmux_policy/src/membership.rs
+++ b/crates/jackdawmux_policy/src/membership.rs
@@ -4,7 +4,7 @@
 //! planned from; one update is out at a time. Everything else passes between instances, so that
 //! service goes on while the store is away.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use strum::Display;
@@ -69,6 +69,7 @@
     giver: PromiseGiver,
     bid: Option<TakeoverBid>,
     heard: HashMap<IncarnationId, PolicyTime>,
+    leaving: HashSet<IncarnationId>,
     first_seen: HashMap<IncarnationId, PolicyTime>,
     store_seen: Option<PolicyTime>,
     is_write_out: bool,
@@ -90,6 +91,7 @@
             giver: PromiseGiver::new(settings),
             bid: None,
             heard: HashMap::new(),
+            leaving: HashSet::new(),
             first_seen: HashMap::new(),
             store_seen: None,
             is_write_out: false,
@@ -143,6 +145,14 @@
             || self.heard.get(&peer).is_some_and(|heard| now.since(*heard) < PEER_SILENCE)
     }
 
+    /// Whether callers may be sent to a member: heard of lately and not leaving, by the view or by
+    /// its own word, which also travels while the store is away.
+    #[must_use]
+    pub fn is_usable(&self, now: PolicyTime, member: &GroupMember) -> bool {
+        let peer = member.incarnation;
+        !member.is_leaving && !self.leaving.contains(&peer) && self.is_alive(now, peer)
+    }
+
     /// Peers heard of lately, members or not.
     pub fn living(&self, now: PolicyTime) -> impl Iterator<Item = IncarnationId> + '_ {
         self.heard
@@ -188,6 +198,7 @@
         }
         let view = &self.view;
         self.first_seen.retain(|peer, _| view.member(*peer).is_some());
+        self.leaving.retain(|peer| view.member(*peer).is_some());
         self.giver.retain(|holder| view.member(holder).is_some());
         // Vows made under an older version do not count for an update of this one.
         self.bid = None;
@@ -225,6 +236,9 @@
                 }
             }
             SteeringMessage::Pulse(pulse) => {
+                if pulse.is_leaving {
+                    self.leaving.insert(peer);
+                }
                 if pulse.view_version > self.version {
                     let ask = SteeringMessage::ViewAsk { seen: self.version };
                     actions.push(MembershipAction::Send(peer, ask));
