--- /dev/null
+++ b/crates/jackdawmux_peer/tests/frames.rs
@@ -0,0 +1,113 @@
+//! Frames: hostile bytes, unknown fields, keys.
+
+use std::time::Duration;
+
+use jackdawmux_peer::{
+    FRAME_LIMIT_BYTES, FrameBody, PeerEvent, PeerFrame, PeerHub, PeerIdentity, PeerKeys,
+    PeerTarget, decode_frame, encode_frame,
+};
+use jackdawmux_policy::clock::PolicyTime;
+use jackdawmux_policy::hlc::HybridStamp;
+use jackdawmux_policy::identity::IncarnationId;
+use jackdawmux_policy::message::{InstancePulse, ServiceReport, SteeringMessage};
+use proptest::prelude::{any, proptest};
+use rstest::rstest;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+fn pulse() -> PeerFrame {
+    let report = ServiceReport { service: "ledger".to_owned(), idle: 3, waiting: 1 };
+    let pulse = InstancePulse {
+        clock: PolicyTime(5),
+        config_version: 2,
+        view_version: 3,
+        reports: vec![report],
+        is_leaving: false,
+    };
+    let stamp = HybridStamp { wall_ms: 1, logical: 2 };
+    PeerFrame { stamp, body: FrameBody::Steering(SteeringMessage::Pulse(pulse)) }
+}
+
+proptest! {
+    #![proptest_config(proptest::prelude::ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        cases: 4_000,
+        ..proptest::prelude::ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_bytes_are_refused_or_read(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _outcome = decode_frame(&bytes);
+    }
+
+    #[test]
+    fn a_changed_frame_is_refused_or_read(position in 0_usize..200, byte in any::<u8>()) {
+        let mut bytes = encode_frame(&pulse()).unwrap();
+        let position = position % bytes.len();
+        bytes[position] = byte;
+        let _outcome = decode_frame(&bytes);
+    }
+}
+
+#[test]
+fn a_frame_reads_as_it_was_written() {
+    let bytes = encode_frame(&pulse()).unwrap();
+    assert_eq!(decode_frame(&bytes).unwrap(), pulse());
+}
+
+#[test]
+fn a_frame_above_the_limit_is_refused() {
+    assert!(decode_frame(&vec![0; FRAME_LIMIT_BYTES + 1]).is_err());
+}
+
+#[test]
+fn unknown_fields_are_skipped() {
+    let bytes = encode_frame(&pulse()).unwrap();
+    let mut value: ciborium::Value = ciborium::from_reader(bytes.as_slice()).unwrap();
+    let ciborium::Value::Map(fields) = &mut value else {
+        panic!("a frame is a map");
+    };
+    fields.push((ciborium::Value::from("later"), ciborium::Value::from(1)));
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&value, &mut bytes).unwrap();
+    assert_eq!(decode_frame(&bytes).unwrap(), pulse());
+}
+
+fn keys(keys: &[&str]) -> PeerKeys {
+    PeerKeys::new(&keys.iter().map(|key| (*key).to_owned()).collect::<Vec<_>>())
+}
+
+async fn hub(id: u64, keys: PeerKeys) -> (PeerHub, mpsc::Receiver<PeerEvent>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let identity = PeerIdentity {
+        instance: format!("e{id}"),
+        incarnation: IncarnationId(id),
+        address,
+        peer_address: address,
+        domain: "d".to_owned(),
+    };
+    let (events, incoming) = mpsc::channel(16);
+    (PeerHub::spawn(listener, identity, keys, events).unwrap(), incoming)
+}
+
+#[rstest]
+#[case::same_key(&["one"], &["one"], true)]
+#[case::rotation(&["new", "old"], &["old", "new"], true)]
+#[case::other_key(&["one"], &["two"], false)]
+#[tokio::test]
+async fn only_holders_of_a_key_are_heard(
+    #[case] left: &[&str],
+    #[case] right: &[&str],
+    #[case] is_heard: bool,
+) {
+    let (dialling, _own) = hub(1, keys(left)).await;
+    let (accepting, mut incoming) = hub(2, keys(right)).await;
+    let target = PeerTarget { incarnation: IncarnationId(2), address: accepting.address() };
+    dialling.set_peers(&[target]);
+    let wait = if is_heard { Duration::from_secs(20) } else { Duration::from_millis(700) };
+    let heard = timeout(wait, incoming.recv()).await;
+    assert_eq!(matches!(heard, Ok(Some(PeerEvent::Joined(_)))), is_heard);
+}
--- a/crates/jackdawmux_rules/src/check.rs
+++ b/crates/jackdawmux_rules/src/check.rs
@@ -17,6 +17,14 @@
 
 /// Reports unknown names and duplicates over the whole file.
 pub(crate) fn check_rules(file: &RulesFile, text: &str, sink: &mut DiagnosticSink) {
+    if file.lines.is_empty() && sink.is_empty() {
+        sink.enter_line(1, "");
+        sink.report(
+            0..0,
+            "the file holds no rule; accepting it would take every service away",
+            "add rules, or keep the file that is accepted now",
+        );
+    }
     let source: Vec<&str> = text.lines().collect();
     let names = define_names(file);
     let mut seen: HashMap<String, usize> = HashMap::new();
--- a/crates/jackdawmux_rules/src/diagnostic.rs
+++ b/crates/jackdawmux_rules/src/diagnostic.rs
@@ -68,6 +68,11 @@
         Self { file: file.to_owned(), line: 1, source: String::new(), diagnostics: Vec::new() }
     }
 
+    /// Whether nothing has been reported.
+    pub(crate) const fn is_empty(&self) -> bool {
+        self.diagnostics.is_empty()
+    }
+
     /// Sets the line that later mistakes point at.
     pub(crate) fn enter_line(&mut self, line: usize, source: &str) {
         self.line = line;
--- /dev/null
+++ b/crates/jackdawmux_standins/examples/experiment.rs
@@ -0,0 +1,148 @@
+//! Compares policies in virtual time over one model: latency, service of important work, caps.
+
+use std::time::Instant;
+
+use bpaf::Parser;
+use jackdawmux_policy::steering::SteeringSettings;
+use jackdawmux_standins::deployment::Deployment;
+use jackdawmux_standins::experiment::{
+    CentralQueue, ExperimentModel, FleetPolicy, LeastInFlight, ModelSettings, PowerOfTwo,
+    RoundRobin, SteeringPolicy, WorldReport, run_world,
+};
+
+struct ExperimentOptions {
+    deployment: String,
+    service: usize,
+    loads: Vec<f64>,
+    seconds: u64,
+    seed: u64,
+    skew: u32,
+    lose_domain: bool,
+}
+
+fn options() -> ExperimentOptions {
+    let deployment = bpaf::long("deployment")
+        .help("korea or mauritius")
+        .argument::<String>("NAME")
+        .fallback("korea".to_owned());
+    let service = bpaf::long("service")
+        .help("0 for the large service, 1 for the small one")
+        .argument::<usize>("INDEX")
+        .fallback(0);
+    let loads = bpaf::long("load")
+        .help("Offered load in percent of capacity; may repeat")
+        .argument::<f64>("PERCENT")
+        .many()
+        .map(|loads| if loads.is_empty() { vec![50.0, 80.0, 95.0, 120.0] } else { loads });
+    let seconds =
+        bpaf::long("seconds").help("Length of each run").argument::<u64>("SECONDS").fallback(20);
+    let seed = bpaf::long("seed").help("Fixes the model").argument::<u64>("SEED").fallback(1);
+    let skew = bpaf::long("skew")
+        .help("Part of the requests that prefer the first entry, in percent")
+        .argument::<u32>("PERCENT")
+        .fallback(40);
+    let lose_domain =
+        bpaf::long("lose-domain").help("One failure domain dies in the middle").switch();
+    bpaf::construct!(ExperimentOptions {
+        deployment,
+        service,
+        loads,
+        seconds,
+        seed,
+        skew,
+        lose_domain,
+    })
+    .to_options()
+    .descr("Compares policies in virtual time")
+    .run()
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let options = options();
+    let deployment =
+        Deployment::find(&options.deployment).ok_or("no such deployment: korea or mauritius")?;
+    for load in &options.loads {
+        let settings = ModelSettings {
+            deployment,
+            service: options.service.min(1),
+            entries: 7,
+            load: load / 100.0,
+            skew_percent: options.skew,
+            seconds: options.seconds,
+            seed: options.seed,
+            loses_domain: options.lose_domain,
+        };
+        compare(&settings);
+    }
+    Ok(())
+}
+
+fn compare(settings: &ModelSettings) {
+    let model = ExperimentModel::draw(*settings);
+    println!(
+        "\n{} {}: {} slots, load {:.0} %, skew {} %, domain lost: {}, {} requests",
+        settings.deployment.name,
+        model.size.name,
+        settings.deployment.total_slots(model.size.name),
+        settings.load * 100.0,
+        settings.skew_percent,
+        settings.loses_domain,
+        model.requests.len()
+    );
+    println!(
+        "{:<28} {:>8} {:>8} {:>8} {:>8} {:>7} {:>7} {:>8} {:>6} {:>7}",
+        "policy",
+        "high p50",
+        "high p99",
+        "low p50",
+        "low p99",
+        "high %",
+        "low %",
+        "over cap",
+        "util",
+        "run s"
+    );
+    let mut split = SteeringSettings::default();
+    split.want_fanout = 0;
+    let mut policies: Vec<Box<dyn SteeringPolicy>> = vec![
+        Box::new(CentralQueue::default()),
+        Box::new(FleetPolicy::new("jackdawmux", SteeringSettings::default())),
+        Box::new(FleetPolicy::new("owners without loans", split)),
+        Box::new(RoundRobin::default()),
+        Box::new(LeastInFlight::new(settings.seed)),
+        Box::new(PowerOfTwo::new(settings.seed)),
+    ];
+    let mut ideal = None;
+    for policy in &mut policies {
+        let begun = Instant::now();
+        let report = run_world(&model, policy.as_mut());
+        print_row(&report, begun.elapsed().as_secs_f64());
+        let p99 = report.high.value_at_quantile(0.99) as f64;
+        match ideal {
+            None => ideal = Some(p99),
+            Some(ideal) if report.name == "jackdawmux" => {
+                println!("{:<28} high p99 is {:.2}x the ideal's", "", p99 / ideal);
+            }
+            Some(_) => {}
+        }
+    }
+}
+
+fn print_row(report: &WorldReport, seconds: f64) {
+    let ms = |histogram: &hdrhistogram::Histogram<u64>, quantile: f64| {
+        histogram.value_at_quantile(quantile) as f64 / 1e3
+    };
+    println!(
+        "{:<28} {:>8.1} {:>8.1} {:>8.1} {:>8.1} {:>7.2} {:>7.2} {:>8} {:>6.3} {:>7.1}",
+        report.name,
+        ms(&report.high, 0.5),
+        ms(&report.high, 0.99),
+        ms(&report.low, 0.5),
+        ms(&report.low, 0.99),
+        report.high_served(),
+        report.low_served(),
+        report.over_cap,
+        report.utilisation,
+        seconds
+    );
+}
--- /dev/null
+++ b/crates/jackdawmux_standins/src/experiment/fleet.rs
@@ -0,0 +1,340 @@
+//! The steering state machines of all entries as one policy.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jackdawmux_policy::clock::PolicyTime;
+use jackdawmux_policy::desk::SlotRequest;
+use jackdawmux_policy::endpoint::ExchangeResult;
+use jackdawmux_policy::group::{GroupMember, GroupView};
+use jackdawmux_policy::identity::{IncarnationId, RequestId};
+use jackdawmux_policy::lease::LeaseCommittee;
+use jackdawmux_policy::message::SteeringMessage;
+use jackdawmux_policy::steering::{InstanceSteering, SteeringAction, SteeringSettings};
+use jackdawmux_policy::table::{RequestPriority, RouteTable};
+use jackdawmux_rules::parse_rules;
+use smallvec::SmallVec;
+
+use super::model::ExperimentModel;
+use super::world::{AnswerEnd, PolicyStep, SteeringPolicy};
+
+/// Time between pulses, in microseconds.
+const PULSE_US: u64 = 200_000;
+/// Time of a store call, in microseconds.
+const STORE_US: u64 = 5_000;
+/// Time allowed for a request, in microseconds.
+const TIMEOUT_US: u64 = 5_000_000;
+/// Tries of one request.
+const TRY_LIMIT: u64 = 4;
+
+#[derive(Debug)]
+enum Pending {
+    Pulse(usize),
+    Message { from: usize, to: IncarnationId, message: SteeringMessage },
+    Write { from: usize, expected: u64, view: GroupView },
+}
+
+/// All entries of a deployment.
+#[derive(Debug)]
+pub struct FleetPolicy {
+    name: String,
+    settings: SteeringSettings,
+    nodes: Vec<InstanceSteering>,
+    ids: Vec<IncarnationId>,
+    is_dead: Vec<bool>,
+    domains: Vec<String>,
+    domain_indexes: Vec<usize>,
+    delays: Vec<Vec<u64>>,
+    service: String,
+    endpoints: HashMap<SocketAddr, usize>,
+    addresses: Vec<SocketAddr>,
+    store: (u64, GroupView),
+    pending: HashMap<u64, Pending>,
+    next_token: u64,
+    requests: HashMap<usize, Tracked>,
+    messages: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Tracked {
+    entry: usize,
+    is_high: bool,
+    deadline: u64,
+    tries: u64,
+    excluded: SmallVec<[SocketAddr; 2]>,
+}
+
+impl FleetPolicy {
+    /// A fleet under the given settings.
+    #[must_use]
+    pub fn new(name: &str, settings: SteeringSettings) -> Self {
+        Self {
+            name: name.to_owned(),
+            settings,
+            nodes: Vec::new(),
+            ids: Vec::new(),
+            is_dead: Vec::new(),
+            domains: Vec::new(),
+            domain_indexes: Vec::new(),
+            delays: Vec::new(),
+            service: String::new(),
+            endpoints: HashMap::new(),
+            addresses: Vec::new(),
+            store: (0, GroupView::default()),
+            pending: HashMap::new(),
+            next_token: 0,
+            requests: HashMap::new(),
+            messages: 0,
+        }
+    }
+
+    /// Messages between entries so far, pulses and lease messages not counted.
+    #[must_use]
+    pub const fn loan_messages(&self) -> u64 {
+        self.messages
+    }
+
+    fn time(now: u64) -> PolicyTime {
+        PolicyTime(now + 1)
+    }
+
+    fn later(&mut self, after_us: u64, pending: Pending) -> PolicyStep {
+        self.next_token += 1;
+        self.pending.insert(self.next_token, pending);
+        PolicyStep::Wake { after_us, token: self.next_token }
+    }
+
+    fn table(&self, model: &ExperimentModel) -> RouteTable {
+        let mut addresses = [Vec::new(), Vec::new()];
+        addresses[model.settings.service].clone_from(&self.addresses);
+        let rules = model.settings.deployment.rules(&addresses);
+        // Only the service under test has endpoints; rules about the other one have no meaning.
+        let kept: Vec<&str> = rules
+            .lines()
+            .filter(|line| !line.starts_with("operation ") || line.contains(model.size.name))
+            .collect();
+        parse_rules("experiment", kept.join("\n").as_bytes())
+            .map(|file| file.compile())
+            .unwrap_or_default()
+    }
+
+    fn carry_out(&mut self, node: usize, actions: Vec<SteeringAction>) -> Vec<PolicyStep> {
+        let mut steps = Vec::new();
+        for action in actions {
+            match action {
+                SteeringAction::Dispatch { id, endpoint, .. } => {
+                    let request = request_of(id);
+                    let endpoint = self.endpoints[&endpoint];
+                    steps.push(PolicyStep::Send { request, entry: node, endpoint });
+                }
+                SteeringAction::Refuse { id, .. } => {
+                    steps.push(PolicyStep::Refuse(request_of(id)));
+                }
+                SteeringAction::Send(to, message) => {
+                    steps.extend(self.send(node, to, message));
+                }
+                SteeringAction::WriteView { expected, view } => {
+                    let write = Pending::Write { from: node, expected, view };
+                    steps.push(self.later(STORE_US, write));
+                }
+                SteeringAction::CloseIdle(_)
+                | SteeringAction::ConfigBehind(_)
+                | SteeringAction::Event(..) => {}
+            }
+        }
+        steps
+    }
+
+    fn send(
+        &mut self,
+        from: usize,
+        to: IncarnationId,
+        message: SteeringMessage,
+    ) -> Option<PolicyStep> {
+        let target = self.ids.iter().position(|id| *id == to)?;
+        let is_loan = matches!(
+            message,
+            SteeringMessage::Want { .. }
+                | SteeringMessage::Withdraw { .. }
+                | SteeringMessage::Grant { .. }
+                | SteeringMessage::Return { .. }
+        );
+        self.messages += u64::from(is_loan);
+        let delay = self.delays[from][target];
+        Some(self.later(delay, Pending::Message { from, to, message }))
+    }
+
+    fn show_store(&mut self, now: u64, node: usize, is_write_end: bool) -> Vec<PolicyStep> {
+        self.nodes[node].see_store(Self::time(now), is_write_end);
+        let (version, view) = self.store.clone();
+        if version == 0 {
+            return Vec::new();
+        }
+        let actions = self.nodes[node].see_view(Self::time(now), version, view);
+        self.carry_out(node, actions)
+    }
+
+    fn admit(&mut self, now: u64, request: usize) -> Vec<PolicyStep> {
+        let Some(tracked) = self.requests.get(&request).cloned() else {
+            return Vec::new();
+        };
+        let node = tracked.entry;
+        let region = self.nodes[node].region().to_owned();
+        let asked = SlotRequest {
+            id: RequestId(request as u64 * TRY_LIMIT + tracked.tries),
+            priority: if tracked.is_high { RequestPriority::High } else { RequestPriority::Low },
+            deadline: Self::time(tracked.deadline),
+            region,
+            excluded: tracked.excluded,
+            avoided_domain: None,
+            is_suspect: false,
+            may_probe: !tracked.is_high,
+        };
+        let service = self.service.clone();
+        let actions = self.nodes[node].admit(Self::time(now), &service, asked);
+        self.carry_out(node, actions)
+    }
+}
+
+fn request_of(id: RequestId) -> usize {
+    usize::try_from(id.0 / TRY_LIMIT).unwrap_or(usize::MAX)
+}
+
+impl SteeringPolicy for FleetPolicy {
+    fn name(&self) -> String {
+        self.name.clone()
+    }
+
+    fn begin(&mut self, model: &ExperimentModel) -> Vec<PolicyStep> {
+        self.domains = model.settings.deployment.domains();
+        self.service = model.size.name.to_owned();
+        self.addresses = model.endpoints.iter().map(|endpoint| endpoint.address).collect();
+        self.endpoints =
+            self.addresses.iter().enumerate().map(|(index, address)| (*address, index)).collect();
+        let table = Arc::new(self.table(model));
+        let count = model.settings.entries;
+        self.is_dead = vec![false; count];
+        self.domain_indexes = (0..count).map(|node| model.domain_of_entry(node)).collect();
+        let indexes = self.domain_indexes.clone();
+        self.delays = indexes
+            .iter()
+            .map(|from| indexes.iter().map(|to| model.delay_us(*from, *to)).collect())
+            .collect();
+        let mut steps = Vec::new();
+        for node in 0..count {
+            let id = IncarnationId(1_000 + node as u64);
+            self.ids.push(id);
+            let port = u16::try_from(node).unwrap_or(0);
+            let own = GroupMember {
+                instance: format!("entry-{node}"),
+                incarnation: id,
+                address: SocketAddr::from(([127, 0, 0, 1], 100 + port)),
+                peer_address: SocketAddr::from(([127, 0, 0, 1], 200 + port)),
+                domain: self.domains[indexes[node]].clone(),
+                committee: LeaseCommittee::new(),
+                is_leaving: false,
+            };
+            let mut steering = InstanceSteering::new(own, self.settings);
+            let actions = steering.put_in_force(Self::time(0), 1, Arc::clone(&table));
+            self.nodes.push(steering);
+            steps.extend(self.carry_out(node, actions));
+            let offset = node as u64 * PULSE_US / count as u64;
+            steps.push(self.later(offset, Pending::Pulse(node)));
+        }
+        steps
+    }
+
+    fn arrive(&mut self, now: u64, request: usize, model: &ExperimentModel) -> Vec<PolicyStep> {
+        let drawn = model.requests[request];
+        let tracked = Tracked {
+            entry: drawn.entry,
+            is_high: drawn.is_high,
+            deadline: now + TIMEOUT_US,
+            tries: 0,
+            excluded: SmallVec::new(),
+        };
+        self.requests.insert(request, tracked);
+        self.admit(now, request)
+    }
+
+    fn answered(
+        &mut self,
+        now: u64,
+        request: usize,
+        endpoint: usize,
+        end: AnswerEnd,
+    ) -> Vec<PolicyStep> {
+        let Some(tracked) = self.requests.get(&request).cloned() else {
+            return Vec::new();
+        };
+        let node = tracked.entry;
+        if self.is_dead[node] {
+            return Vec::new();
+        }
+        let id = RequestId(request as u64 * TRY_LIMIT + tracked.tries);
+        let result = match end {
+            AnswerEnd::Served => ExchangeResult::Answered,
+            AnswerEnd::Shed => ExchangeResult::Shed,
+            AnswerEnd::Dead => ExchangeResult::Failed,
+        };
+        let latency = Duration::from_millis(20);
+        let service = self.service.clone();
+        let actions = self.nodes[node].finish(Self::time(now), &service, id, result, latency);
+        let mut steps = self.carry_out(node, actions);
+        if end == AnswerEnd::Served || tracked.tries + 1 >= TRY_LIMIT {
+            self.requests.remove(&request);
+            return steps;
+        }
+        if !self.nodes[node].spend_retry(&service) {
+            return steps;
+        }
+        if let Some(tracked) = self.requests.get_mut(&request) {
+            tracked.tries += 1;
+            tracked.excluded.push(self.addresses[endpoint]);
+        }
+        steps.extend(self.admit(now, request));
+        steps
+    }
+
+    fn wake(&mut self, now: u64, token: u64) -> Vec<PolicyStep> {
+        match self.pending.remove(&token) {
+            None => Vec::new(),
+            Some(Pending::Pulse(node)) => {
+                if self.is_dead[node] {
+                    return Vec::new();
+                }
+                let mut steps = self.show_store(now, node, false);
+                let actions = self.nodes[node].pulse(Self::time(now));
+                steps.extend(self.carry_out(node, actions));
+                steps.push(self.later(PULSE_US, Pending::Pulse(node)));
+                steps
+            }
+            Some(Pending::Message { from, to, message }) => {
+                let Some(node) = self.ids.iter().position(|id| *id == to) else {
+                    return Vec::new();
+                };
+                if self.is_dead[node] {
+                    return Vec::new();
+                }
+                let sender = self.ids[from];
+                let actions = self.nodes[node].receive(Self::time(now), sender, message);
+                self.carry_out(node, actions)
+            }
+            Some(Pending::Write { from, expected, view }) => {
+                if self.store.0 == expected {
+                    self.store = (expected + 1, view);
+                }
+                if self.is_dead[from] { Vec::new() } else { self.show_store(now, from, true) }
+            }
+        }
+    }
+
+    fn domain_died(&mut self, _: u64, domain: usize) -> Vec<PolicyStep> {
+        for node in 0..self.nodes.len() {
+            self.is_dead[node] |= self.domain_indexes[node] == domain;
+        }
+        Vec::new()
+    }
+}
--- a/crates/jackdawmux_standins/src/lib.rs
+++ b/crates/jackdawmux_standins/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod deployment;
+pub mod experiment;
 pub mod report;
 pub mod serve;
 pub mod store;
