Requests are passed on to the owner of an idle slot; loans of slots are gone

Cause: a loan between regions kept a slot of 20 ms of work for up to 48 ms of travel (the grant, the way to the endpoint and back, the return), so up to 40 % of the capacity was lost to travel. Ruled out: too few wants (a fanout of 2 already kept a want at every idle peer), old reports (the waste is the same with fresh ones, it is travel time).

The bound gets simpler too: only an endpoint's owner sends to it. Conclusion: pass requests, not slots.

--- a/crates/jackdawmux_entry/src/process/launch.rs
+++ b/crates/jackdawmux_entry/src/process/launch.rs
@@ -265,7 +265,7 @@
 fn steering_settings(settings: &EntrySettings) -> SteeringSettings {
     let promise_ttl = settings.lease;
     let lease = LeaseSettings { promise_ttl, rate_margin: promise_ttl / 10 };
-    SteeringSettings { lease, loan_ttl: promise_ttl * 2 / 3, ..SteeringSettings::default() }
+    SteeringSettings { lease, ..SteeringSettings::default() }
 }
 
 async fn pass_frames(mut incoming: mpsc::Receiver<PeerEvent>, steering: ActorRef<SteeringActor>) {
--- a/crates/jackdawmux_entry/src/process/mod.rs
+++ b/crates/jackdawmux_entry/src/process/mod.rs
@@ -18,7 +18,8 @@
 pub use metrics::EntryMetrics;
 pub use settings::{EntrySettings, SettingMistake, parse_settings, settings_parser};
 pub(crate) use steering::{
-    Admission, AdmitRequest, AskStatus, CancelRequest, FinishRequest, SlotEnd, SpendRetry,
+    Admission, AdmissionPlace, AdmissionResult, AdmitRequest, AskReport, AskStatus, CancelRequest,
+    FinishRequest, HearCounts, SlotEnd, SpendRetry,
 };
 pub use steering::{EndpointStatus, ServiceStatus, SteeringStatus};
 pub use timeline::{EventLog, TimelineEvent};
--- a/crates/jackdawmux_entry/src/process/steering.rs
+++ b/crates/jackdawmux_entry/src/process/steering.rs
@@ -14,8 +14,8 @@
 use jackdawmux_policy::endpoint::{EndpointState, ExchangeResult};
 use jackdawmux_policy::group::GroupView;
 use jackdawmux_policy::identity::{IncarnationId, RequestId};
-use jackdawmux_policy::message::SteeringMessage;
-use jackdawmux_policy::outcome::RequestRefusal;
+use jackdawmux_policy::message::{ServiceReport, SteeringMessage};
+use jackdawmux_policy::outcome::{RefusalReason, RequestRefusal};
 use jackdawmux_policy::poison::{PoisonSettings, RequestDigest, SuspectLevel, SuspectList};
 use jackdawmux_policy::steering::{InstanceSteering, SteeringAction};
 use jackdawmux_policy::table::RouteTable;
@@ -49,8 +49,17 @@
     pub(crate) work_until_ms: u64,
 }
 
+/// Where a request is to go.
+#[derive(Debug)]
+pub(crate) enum AdmissionPlace {
+    /// To an endpoint, under a slot of this instance.
+    Slot(Admission),
+    /// To a peer, which serves it from its own slots.
+    Peer(PeerIdentity),
+}
+
 /// Answer to a request for a slot.
-pub(crate) type AdmissionResult = Result<Admission, RequestRefusal>;
+pub(crate) type AdmissionResult = Result<AdmissionPlace, RequestRefusal>;
 
 /// Asks for a slot.
 #[derive(Debug)]
@@ -107,6 +116,19 @@
     pub(crate) service: String,
 }
 
+/// Counts of a peer that came with its answer.
+#[derive(Debug)]
+pub(crate) struct HearCounts {
+    pub(crate) peer: IncarnationId,
+    pub(crate) report: ServiceReport,
+}
+
+/// Asks what peers are told about a service.
+#[derive(Debug)]
+pub(crate) struct AskReport {
+    pub(crate) service: String,
+}
+
 /// A planned stop begins.
 #[derive(Debug)]
 pub(crate) struct StartLeaving;
@@ -154,10 +176,8 @@
     pub domain: String,
     /// Slots by the rules.
     pub slots: u32,
-    /// Slots used here.
-    pub own: u32,
-    /// Slots lent to peers.
-    pub lent: u32,
+    /// Slots in use.
+    pub used: u32,
     /// Slots that could be given out now.
     pub free: u32,
     /// `open`, `draining` or `suspended`.
@@ -261,6 +281,7 @@
                 let work_until_ms = self.parts.clock.wall_ms().saturating_add(allowance);
                 self.dispatch(id, Admission { endpoint, domain, work_until_ms }, further);
             }
+            SteeringAction::PassOn { id, peer } => self.pass_on(id, peer),
             SteeringAction::Refuse { id, refusal } => {
                 self.digests.remove(&id);
                 if let Some((_, answer)) = self.answers.remove(&id) {
@@ -269,7 +290,9 @@
                 }
             }
             SteeringAction::CloseIdle(address) => self.parts.pool.close_idle(address),
-            SteeringAction::Send(peer, message) => self.send(peer, message, further),
+            SteeringAction::Send(peer, message) => {
+                self.send_body(peer, FrameBody::Steering(message));
+            }
             SteeringAction::WriteView { expected, view } => {
                 let store = Arc::clone(&self.parts.store);
                 let key = self.parts.view_key.clone();
@@ -295,7 +318,7 @@
         let Some((service, answer)) = self.answers.remove(&id) else {
             return;
         };
-        if answer.send(Ok(admission)).is_err() {
+        if answer.send(Ok(AdmissionPlace::Slot(admission))).is_err() {
             // The caller went away while the slot was on its way: give the slot back unused.
             self.digests.remove(&id);
             let now = self.now();
@@ -304,22 +327,31 @@
         }
     }
 
-    fn send(
-        &mut self,
-        peer: IncarnationId,
-        message: SteeringMessage,
-        further: &mut Vec<SteeringAction>,
-    ) {
-        let unsent_grant = match &message {
-            SteeringMessage::Grant { service, loan, .. } => Some((service.clone(), loan.id)),
-            _ => None,
+    fn pass_on(&mut self, id: RequestId, peer: IncarnationId) {
+        self.digests.remove(&id);
+        let Some((_, answer)) = self.answers.remove(&id) else {
+            return;
+        };
+        let place = match self.identity_of(peer) {
+            Some(identity) => Ok(AdmissionPlace::Peer(identity)),
+            None => Err(RequestRefusal::later(RefusalReason::Overloaded, CANCEL_GRACE)),
         };
-        let is_queued = self.send_body(peer, FrameBody::Steering(message));
-        // A grant that never left this process can be undone at once.
-        if let Some((service, loan)) = unsent_grant.filter(|_| !is_queued) {
-            let undo = SteeringMessage::Return { service, loan, report: None };
-            further.extend(self.parts.steering.receive(self.now(), peer, undo));
+        // The caller may have gone; nothing is held for it.
+        let _gone = answer.send(place);
+    }
+
+    fn identity_of(&self, peer: IncarnationId) -> Option<PeerIdentity> {
+        if let Some(identity) = self.met.get(&peer) {
+            return Some(identity.clone());
         }
+        let member = self.parts.steering.membership().view().member(peer)?;
+        Some(PeerIdentity {
+            instance: member.instance.clone(),
+            incarnation: peer,
+            address: member.address,
+            peer_address: member.peer_address,
+            domain: member.domain.clone(),
+        })
     }
 
     fn send_body(&self, peer: IncarnationId, body: FrameBody) -> bool {
@@ -455,8 +487,7 @@
                     address: endpoint.address,
                     domain: endpoint.domain.clone(),
                     slots: endpoint.hard,
-                    own: endpoint.own,
-                    lent: endpoint.lent,
+                    used: endpoint.used,
                     free: endpoint.free(now),
                     state: match endpoint.state {
                         EndpointState::Open => "open",
@@ -486,7 +517,7 @@
         let AdmitRequest { service, mut request, digest, answer } = message;
         let level = self.suspects.level(now, digest);
         if level == SuspectLevel::Convicted {
-            let reason = jackdawmux_policy::outcome::RefusalReason::Poisonous;
+            let reason = RefusalReason::Poisonous;
             let _gone = answer.send(Err(RequestRefusal::later(reason, POISON.expiry)));
             return;
         }
@@ -539,8 +570,7 @@
             // A slot was given in the meantime; whoever held its answer gives it back.
             return;
         }
-        let actions = self.parts.steering.cancel(self.now(), &message.service, message.id);
-        self.carry_out(actions);
+        self.parts.steering.cancel(&message.service, message.id);
     }
 }
 
@@ -552,6 +582,26 @@
     }
 }
 
+impl Message<HearCounts> for SteeringActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: HearCounts, _: &mut Context<Self, ()>) {
+        self.parts.steering.hear_counts(message.peer, message.report);
+    }
+}
+
+impl Message<AskReport> for SteeringActor {
+    type Reply = Option<ServiceReport>;
+
+    async fn handle(
+        &mut self,
+        message: AskReport,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        self.parts.steering.service_report(self.now(), &message.service)
+    }
+}
+
 impl Message<PulseTick> for SteeringActor {
     type Reply = ();
 
--- a/crates/jackdawmux_entry/src/request/body.rs
+++ b/crates/jackdawmux_entry/src/request/body.rs
@@ -67,6 +67,14 @@
         }
     }
 
+    /// The body for another to send; a held one also stays here.
+    pub(crate) fn lend(&mut self) -> Self {
+        match self {
+            Self::Held(bytes) => Self::Held(bytes.clone()),
+            Self::Streaming(_) | Self::Spent => std::mem::replace(self, Self::Spent),
+        }
+    }
+
     /// Puts back a body that was taken and not sent.
     pub(crate) fn restore(&mut self, body: Body) {
         if matches!(self, Self::Spent) {
--- a/crates/jackdawmux_entry/src/request/forward.rs
+++ b/crates/jackdawmux_entry/src/request/forward.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use jackdawmux_peer::PeerIdentity;
 use jackdawmux_policy::desk::SlotRequest;
 use jackdawmux_policy::endpoint::ExchangeResult;
 use jackdawmux_policy::identity::{RequestId, stable_hash};
@@ -20,11 +21,15 @@
 
 use super::answer::{FinalAnswer, StoredAnswer};
 use super::body::{HELD_LIMIT, RequestBody};
+use super::counts::{COUNTS_HEADER, read_counts};
 use super::guard::{SlotBody, SlotGuard, WaitGuard};
+use super::pass_on::{PassEnd, PassReason, pass_on};
 use super::plan::{DEADLINE_HEADER, RequestPlan, strip_hop_headers};
 use super::refusal::{OUTCOME_HEADER, set_outcome};
 use crate::connection::{ExchangeEnd, UpstreamAnswer, exchange};
-use crate::process::{Admission, AdmitRequest, EntryContext, SpendRetry};
+use crate::process::{
+    Admission, AdmissionPlace, AdmissionResult, AdmitRequest, EntryContext, HearCounts, SpendRetry,
+};
 
 /// Header with the absolute deadline of the work, in Unix milliseconds. It is fixed when the
 /// slot is given, so that a sender paused before sending cannot start late work.
@@ -42,6 +47,8 @@
     NotRun { endpoint: SocketAddr, domain: String, reason: RefusalReason },
     /// It may have run at the endpoint.
     Lost { endpoint: SocketAddr, domain: String },
+    /// A peer did not run it; it is served from here.
+    PeerRefused,
 }
 
 /// One request on its way.
@@ -53,19 +60,23 @@
     region: String,
     excluded: SmallVec<[SocketAddr; 2]>,
     avoided: Option<String>,
+    may_pass: bool,
 }
 
 /// Carries a request to an upstream and returns its final answer. With `key`, the request runs at
-/// most once: the register decides about each send.
+/// most once: the register decides about each send. `may_pass` is false for a request that was
+/// passed on already.
 pub(crate) async fn forward(
     context: &Arc<EntryContext>,
     plan: &RequestPlan,
     body: RequestBody,
     key: Option<KeyDigest>,
+    may_pass: bool,
 ) -> FinalAnswer {
     let region = preferred_region(context, plan);
     let excluded = SmallVec::new();
-    let mut task = ForwardTask { context, plan, body, key, region, excluded, avoided: None };
+    let mut task =
+        ForwardTask { context, plan, body, key, region, excluded, avoided: None, may_pass };
     task.run().await
 }
 
@@ -84,17 +95,22 @@
         let mut outcome = RunOutcome::NotRun;
         for number in 1..=TRY_LIMIT {
             let id = self.context.next_request();
-            let admission = match self.admit(id).await {
-                Ok(admission) => admission,
+            let tried = match self.admit(id).await {
+                Ok(AdmissionPlace::Slot(admission)) => self.try_once(id, admission).await,
+                Ok(AdmissionPlace::Peer(peer)) => self.try_peer(&peer).await,
                 Err(refusal) => return FinalAnswer::Refused(outcome, refusal),
             };
-            let (endpoint, domain, reason) = match self.try_once(id, admission).await {
+            let (endpoint, domain, reason) = match tried {
                 TryEnd::Final(answer) => return answer,
                 TryEnd::NotRun { endpoint, domain, reason } => (endpoint, domain, reason),
                 TryEnd::Lost { endpoint, domain } => {
                     outcome = RunOutcome::Unknown;
                     (endpoint, domain, RefusalReason::UpstreamLost)
                 }
+                TryEnd::PeerRefused => {
+                    self.may_pass = false;
+                    continue;
+                }
             };
             if number == TRY_LIMIT || !self.may_retry(outcome).await {
                 let refusal = RequestRefusal::later(reason, FAILED_PAUSE);
@@ -121,7 +137,7 @@
         self.context.steering.ask(ask).await.unwrap_or(false)
     }
 
-    async fn admit(&mut self, id: RequestId) -> Result<Admission, RequestRefusal> {
+    async fn admit(&mut self, id: RequestId) -> AdmissionResult {
         let (answer, answered) = oneshot::channel();
         let request = SlotRequest {
             id,
@@ -132,6 +148,7 @@
             avoided_domain: self.avoided.clone(),
             is_suspect: false,
             may_probe: self.plan.may_probe(),
+            may_pass: self.may_pass,
         };
         let service = self.plan.service.to_string();
         let digest = self.digest();
@@ -206,6 +223,62 @@
         }
     }
 
+    /// Passes the request on to a peer with slots to spare and relays what came of it.
+    async fn try_peer(&mut self, peer: &PeerIdentity) -> TryEnd {
+        if let Some(key) = self.key
+            && !self.context.once.mark_sent(key)
+        {
+            let refusal = RequestRefusal::later(RefusalReason::KeyInUse, FAILED_PAUSE);
+            return TryEnd::Final(FinalAnswer::Refused(RunOutcome::Unknown, refusal));
+        }
+        let body = self.body.lend();
+        match pass_on(self.context, self.plan, body, PassReason::Slot, peer.address).await {
+            PassEnd::Unsent(body) => {
+                self.body = body;
+                self.mark_refused();
+                TryEnd::PeerRefused
+            }
+            PassEnd::Lost => TryEnd::Lost { endpoint: peer.address, domain: peer.domain.clone() },
+            PassEnd::Answered(response) => self.take_peer_answer(peer, response).await,
+        }
+    }
+
+    async fn take_peer_answer(
+        &mut self,
+        peer: &PeerIdentity,
+        mut response: Response<Body>,
+    ) -> TryEnd {
+        self.learn_counts(peer, &mut response).await;
+        let outcome = response.headers().get(OUTCOME_HEADER).cloned();
+        let outcome = outcome.as_ref().and_then(|value| value.to_str().ok());
+        match outcome.and_then(|text| text.parse::<RunOutcome>().ok()) {
+            Some(RunOutcome::NotRun) if self.body.is_sendable() => {
+                self.mark_refused();
+                TryEnd::PeerRefused
+            }
+            Some(RunOutcome::NotRun) => {
+                self.mark_refused();
+                let refusal = RequestRefusal::later(RefusalReason::Overloaded, FAILED_PAUSE);
+                TryEnd::Final(FinalAnswer::Refused(RunOutcome::NotRun, refusal))
+            }
+            Some(RunOutcome::Ran) => TryEnd::Final(hold_answer(response).await),
+            Some(RunOutcome::Unknown) | None => {
+                TryEnd::Lost { endpoint: peer.address, domain: peer.domain.clone() }
+            }
+        }
+    }
+
+    async fn learn_counts(&mut self, peer: &PeerIdentity, response: &mut Response<Body>) {
+        let value = response.headers_mut().remove(COUNTS_HEADER);
+        let text = value.as_ref().and_then(|value| value.to_str().ok()).unwrap_or_default();
+        if let Some(report) = read_counts(&self.plan.service, text) {
+            let counts = HearCounts { peer: peer.incarnation, report };
+            if self.context.steering.tell(counts).await.is_err() {
+                log::debug!("event=counts-unsent");
+            }
+        }
+    }
+
     /// Time for the work, fixed when the slot was given; none when it has run out since.
     fn time_left(&self, admission: &Admission) -> Option<Duration> {
         let left = self.plan.deadline.since(self.context.clock.now());
@@ -294,6 +367,28 @@
     }
 }
 
+/// A peer's answer, held when it is small enough to be given again.
+async fn hold_answer(response: Response<Body>) -> FinalAnswer {
+    let is_small = http_body::Body::size_hint(response.body())
+        .upper()
+        .is_some_and(|size| size <= u64::try_from(HELD_LIMIT).unwrap_or(0));
+    if !is_small {
+        return FinalAnswer::Streaming(response);
+    }
+    let (head, body) = response.into_parts();
+    match body.collect().await {
+        Ok(collected) => {
+            let body = collected.to_bytes();
+            let stored = StoredAnswer { status: head.status, headers: head.headers, body };
+            FinalAnswer::Held(Arc::new(stored))
+        }
+        Err(_) => {
+            let refusal = RequestRefusal::later(RefusalReason::UpstreamLost, FAILED_PAUSE);
+            FinalAnswer::Refused(RunOutcome::Unknown, refusal)
+        }
+    }
+}
+
 /// Whether the upstream says that it did not run the request.
 fn is_refusal(response: &Response<Incoming>) -> bool {
     response.status() == axum::http::StatusCode::SERVICE_UNAVAILABLE
--- a/crates/jackdawmux_entry/src/request/mod.rs
+++ b/crates/jackdawmux_entry/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod body;
 mod claims;
+mod counts;
 mod forward;
 mod guard;
 mod lookup;
--- a/crates/jackdawmux_entry/src/request/once.rs
+++ b/crates/jackdawmux_entry/src/request/once.rs
@@ -17,7 +17,7 @@
 use super::answer::FinalAnswer;
 use super::body::RequestBody;
 use super::forward::forward;
-use super::pass_on::{PassEnd, pass_on};
+use super::pass_on::{PassEnd, PassReason, pass_on};
 use super::plan::RequestPlan;
 use super::refusal::refusal_response;
 use super::register::{JoinEnd, KEY_RETENTION};
@@ -159,7 +159,7 @@
     home: DirectoryEntry,
 ) -> Response<Body> {
     let OnceRequest { plan, body, key, .. } = request;
-    match pass_on(context, &plan, body, &key, &home).await {
+    match pass_on(context, &plan, body, PassReason::Home, home.address).await {
         PassEnd::Answered(response) => response,
         PassEnd::Lost => {
             let refusal = RequestRefusal::later(RefusalReason::UpstreamLost, JOIN_PAUSE);
@@ -260,7 +260,7 @@
             }
         }
     }
-    forward(context, &request.plan, request.body, Some(digest)).await
+    forward(context, &request.plan, request.body, Some(digest), true).await
 }
 
 async fn claim(
@@ -286,8 +286,8 @@
     let Some(home) = directory.find(holder).cloned() else {
         return unknown;
     };
-    let OnceRequest { plan, body, key, .. } = request;
-    match pass_on(context, &plan, body, &key, &home).await {
+    let OnceRequest { plan, body, .. } = request;
+    match pass_on(context, &plan, body, PassReason::Home, home.address).await {
         PassEnd::Answered(response) => FinalAnswer::Streaming(response),
         PassEnd::Lost | PassEnd::Unsent(_) => unknown,
     }
--- a/crates/jackdawmux_entry/src/request/pass_on.rs
+++ b/crates/jackdawmux_entry/src/request/pass_on.rs
@@ -1,8 +1,9 @@
-//! Passes a request on to the instance that its key belongs to.
+//! Passes a request on: to the home of its key, or to an instance with slots to spare.
 //!
 //! It travels over HTTP on the receiver's address for callers, because bodies stream there under
 //! the same limits; a code under the shared key shows that an instance passed it on.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,18 +11,29 @@
 use axum::http::{HeaderMap, HeaderValue, Request, Response, Uri};
 use http_body_util::BodyExt;
 use jackdawmux_peer::PeerKeys;
+use strum::{AsRefStr, EnumString};
 use tokio::time::timeout_at;
 
 use super::body::RequestBody;
 use super::plan::{DEADLINE_HEADER, RequestPlan};
 use crate::connection::{ExchangeEnd, exchange};
-use crate::process::{DirectoryEntry, EntryContext};
+use crate::process::EntryContext;
 
 /// Header that shows that an instance passed a request on.
 const PASSED_HEADER: &str = "jackdaw-passed-on";
 /// Time left to the receiver for its answer to travel back.
 const RETURN_MARGIN: Duration = Duration::from_millis(20);
 
+/// Why a request is passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, AsRefStr, EnumString)]
+#[strum(serialize_all = "lowercase")]
+pub(crate) enum PassReason {
+    /// The receiver decides whether the key may run.
+    Home,
+    /// The receiver serves it from its own slots; the sender has decided about the key.
+    Slot,
+}
+
 /// How passing a request on ended.
 #[derive(Debug)]
 pub(crate) enum PassEnd {
@@ -33,11 +45,17 @@
     Unsent(RequestBody),
 }
 
-/// Whether another instance passed the request on.
-pub(crate) fn is_passed_on(keys: &PeerKeys, headers: &HeaderMap, target: &str) -> bool {
-    let code = headers.get(PASSED_HEADER).and_then(|value| decode_hex(value.as_bytes()));
+/// Why another instance passed the request on, if one did.
+pub(crate) fn passed_reason(
+    keys: &PeerKeys,
+    headers: &HeaderMap,
+    target: &str,
+) -> Option<PassReason> {
+    let (reason, code) = headers.get(PASSED_HEADER)?.to_str().ok()?.split_once('.')?;
+    let code = decode_hex(code.as_bytes())?;
     let key = headers.get("idempotency-key").map(HeaderValue::as_bytes).unwrap_or_default();
-    code.is_some_and(|code| keys.verify(&[b"pass-on", target.as_bytes(), key], &code))
+    let parts: [&[u8]; 4] = [b"pass-on", reason.as_bytes(), target.as_bytes(), key];
+    keys.verify(&parts, &code).then(|| reason.parse().ok()).flatten()
 }
 
 /// Passes a request on and relays the answer.
@@ -45,21 +63,21 @@
     context: &Arc<EntryContext>,
     plan: &RequestPlan,
     mut body: RequestBody,
-    key: &str,
-    home: &DirectoryEntry,
+    reason: PassReason,
+    receiver: SocketAddr,
 ) -> PassEnd {
     let left = plan.deadline.since(context.clock.now()).saturating_sub(RETURN_MARGIN);
-    let (Some(content), Some(request)) = (body.take(), head(context, plan, key, left)) else {
+    let (Some(content), Some(request)) = (body.take(), head(context, plan, reason, left)) else {
         return PassEnd::Unsent(body);
     };
     let request = request.map(|()| content);
-    match exchange(&context.pool, home.address, request, left).await {
+    match exchange(&context.pool, receiver, request, left).await {
         ExchangeEnd::Unsent { request, .. } => {
             body.restore(request.into_body());
             PassEnd::Unsent(body)
         }
         ExchangeEnd::Lost { error, .. } => {
-            log::debug!("event=pass-on-lost peer={} error={error:?}", home.address);
+            log::debug!("event=pass-on-lost peer={receiver} error={error:?}");
             PassEnd::Lost
         }
         ExchangeEnd::Answered(answer) => {
@@ -79,7 +97,7 @@
 fn head(
     context: &EntryContext,
     plan: &RequestPlan,
-    key: &str,
+    reason: PassReason,
     left: Duration,
 ) -> Option<Request<()>> {
     let target = format!("/{}{}", plan.service, plan.uri);
@@ -90,8 +108,12 @@
     let headers = request.headers_mut();
     let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
     headers.insert(DEADLINE_HEADER, HeaderValue::from(millis));
-    let code = context.keys.sign(&[b"pass-on", target.as_bytes(), key.as_bytes()]);
-    let text: String = code.iter().map(|byte| format!("{byte:02x}")).collect();
+    let key = headers.get("idempotency-key").cloned();
+    let key = key.as_ref().map(HeaderValue::as_bytes).unwrap_or_default();
+    let parts: [&[u8]; 4] = [b"pass-on", reason.as_ref().as_bytes(), target.as_bytes(), key];
+    let code = context.keys.sign(&parts);
+    let hex: String = code.iter().map(|byte| format!("{byte:02x}")).collect();
+    let text = format!("{}.{hex}", reason.as_ref());
     headers.insert(PASSED_HEADER, HeaderValue::from_str(&text).ok()?);
     Some(request)
 }
--- a/crates/jackdawmux_entry/src/request/router.rs
+++ b/crates/jackdawmux_entry/src/request/router.rs
@@ -12,14 +12,15 @@
 use jackdawmux_policy::outcome::{RequestRefusal, RunOutcome};
 
 use super::body::RequestBody;
+use super::counts::{COUNTS_HEADER, counts_text};
 use super::forward::forward;
 use super::lookup::is_usable_here;
 use super::once::{OnceRequest, run_once};
-use super::pass_on::is_passed_on;
+use super::pass_on::{PassReason, passed_reason};
 use super::plan::RequestPlan;
 use super::refusal::{OUTCOME_HEADER, refusal_response};
 use super::{admin, lookup};
-use crate::process::EntryContext;
+use crate::process::{AskReport, EntryContext};
 
 /// Builds the router of one instance.
 pub(crate) fn build_router(context: Arc<EntryContext>) -> Router {
@@ -69,13 +70,29 @@
 ) -> Result<Response<Body>, RequestRefusal> {
     let (parts, body) = request.into_parts();
     let target = parts.uri.path_and_query().map(ToString::to_string).unwrap_or_default();
-    let is_passed_on = is_passed_on(&context.keys, &parts.headers, &target);
+    let passed = passed_reason(&context.keys, &parts.headers, &target);
     let key = parts.headers.get("idempotency-key").cloned();
     let plan = RequestPlan::open(context, parts, caller)?;
     let body = RequestBody::open(body, context.settings.max_body_bytes).await?;
+    if passed == Some(PassReason::Slot) {
+        let mut response = forward(context, &plan, body, None, false).await.into_response();
+        attach_counts(context, &plan, &mut response).await;
+        return Ok(response);
+    }
     if !plan.is_once() {
-        return Ok(forward(context, &plan, body, None).await.into_response());
+        return Ok(forward(context, &plan, body, None, true).await.into_response());
     }
+    let is_passed_on = passed == Some(PassReason::Home);
     let key = key.and_then(|value| value.to_str().map(str::to_owned).ok()).unwrap_or_default();
     Ok(run_once(context, OnceRequest { plan, body, key, is_passed_on }).await)
 }
+
+/// Tells the instance that passed a request on how busy this one is now.
+async fn attach_counts(context: &EntryContext, plan: &RequestPlan, response: &mut Response<Body>) {
+    let ask = AskReport { service: plan.service.to_string() };
+    let report = context.steering.ask(ask).await.ok().flatten();
+    let value = report.and_then(|report| HeaderValue::from_str(&counts_text(&report)).ok());
+    if let Some(value) = value {
+        response.headers_mut().insert(COUNTS_HEADER, value);
+    }
+}
--- a/crates/jackdawmux_policy/src/endpoint.rs
+++ b/crates/jackdawmux_policy/src/endpoint.rs
@@ -44,7 +44,7 @@
 
 /// Slots of one endpoint, all of them owned by this instance.
 ///
-/// `own + lent <= hard` holds at every instant: the adaptive limit only lowers what is used.
+/// `used <= hard` holds at every instant: the adaptive limit only lowers what is used.
 #[derive(Clone, Debug)]
 pub struct EndpointSlots {
     /// Where the upstream listens.
@@ -55,10 +55,8 @@
     pub region: String,
     /// Slots that the accepted rules allow.
     pub hard: u32,
-    /// Slots in use by this instance's requests.
-    pub own: u32,
-    /// Slots lent to peers and not yet returned or reclaimed.
-    pub lent: u32,
+    /// Slots in use.
+    pub used: u32,
     /// Whether it takes new requests.
     pub state: EndpointState,
     /// Not used before this time; covers work that an earlier owner may still have running.
@@ -88,8 +86,7 @@
             domain: domain.to_owned(),
             region: region.to_owned(),
             hard,
-            own: 0,
-            lent: 0,
+            used: 0,
             state: EndpointState::Open,
             usable_at,
             is_releasing: false,
@@ -101,12 +98,6 @@
         }
     }
 
-    /// Slots in use.
-    #[must_use]
-    pub const fn used(&self) -> u32 {
-        self.own + self.lent
-    }
-
     /// Slots that may be given out now.
     #[must_use]
     pub fn free(&self, now: PolicyTime) -> u32 {
@@ -117,8 +108,8 @@
         match self.state {
             EndpointState::Draining => 0,
             EndpointState::Suspended(until) if now < until => 0,
-            EndpointState::Suspended(_) => 1_u32.saturating_sub(self.used()),
-            EndpointState::Open => self.allowed().saturating_sub(self.used()),
+            EndpointState::Suspended(_) => 1_u32.saturating_sub(self.used),
+            EndpointState::Open => self.allowed().saturating_sub(self.used),
         }
     }
 
@@ -131,7 +122,7 @@
     /// Share of the allowed slots in use, in thousandths.
     #[must_use]
     pub fn load_permille(&self) -> u32 {
-        self.used() * 1_000 / self.allowed().max(1)
+        self.used * 1_000 / self.allowed().max(1)
     }
 
     /// Smoothed latency of whole answers.
--- a/crates/jackdawmux_policy/src/identity.rs
+++ b/crates/jackdawmux_policy/src/identity.rs
@@ -29,10 +29,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestId(pub u64);
 
-/// One loan of one slot, numbered by the lending incarnation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct LoanId(pub u64);
-
 /// Finalising mix of a 64-bit value (SplitMix64).
 #[must_use]
 pub const fn mix64(value: u64) -> u64 {
--- a/crates/jackdawmux_policy/src/membership.rs
+++ b/crates/jackdawmux_policy/src/membership.rs
@@ -244,12 +244,7 @@
                     actions.push(MembershipAction::Send(peer, ask));
                 }
             }
-            SteeringMessage::ViewOffer { .. }
-            | SteeringMessage::Want { .. }
-            | SteeringMessage::Withdraw { .. }
-            | SteeringMessage::Grant { .. }
-            | SteeringMessage::Return { .. }
-            | SteeringMessage::Suspect { .. } => {}
+            SteeringMessage::ViewOffer { .. } | SteeringMessage::Suspect { .. } => {}
         }
     }
 
--- a/crates/jackdawmux_policy/src/message.rs
+++ b/crates/jackdawmux_policy/src/message.rs
@@ -1,7 +1,6 @@
 //! Messages that the steering state machines of two instances exchange.
 
 use std::fmt;
-use std::time::Duration;
 
 use serde::de::{IgnoredAny, SeqAccess, Visitor};
 use serde::ser::SerializeTuple;
@@ -9,29 +8,36 @@
 use strum::AsRefStr;
 
 use crate::clock::PolicyTime;
-use crate::desk::{LoanReport, SlotLoan};
 use crate::group::GroupView;
-use crate::identity::{IncarnationId, LoanId, RequestId};
-use crate::table::RequestPriority;
+use crate::identity::IncarnationId;
 
 /// Free slots and waiting requests of one service at the sender.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ServiceReport {
     /// Name of the service.
     pub service: String,
     /// Slots that could be given out.
     pub idle: u32,
-    /// Requests waiting.
+    /// Slots that the sender may give out when all are free.
+    pub slots: u32,
+    /// Requests of high priority waiting.
+    pub waiting_high: u32,
+    /// All requests waiting.
     pub waiting: u32,
+    /// Mean time of one request, in microseconds.
+    pub mean_us: u32,
 }
 
 impl Serialize for ServiceReport {
     // One tuple without field names: every pulse carries one for each service.
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        let mut tuple = serializer.serialize_tuple(3)?;
+        let mut tuple = serializer.serialize_tuple(6)?;
         tuple.serialize_element(&self.service)?;
         tuple.serialize_element(&self.idle)?;
+        tuple.serialize_element(&self.slots)?;
+        tuple.serialize_element(&self.waiting_high)?;
         tuple.serialize_element(&self.waiting)?;
+        tuple.serialize_element(&self.mean_us)?;
         tuple.end()
     }
 }
@@ -48,17 +54,20 @@
     type Value = ServiceReport;
 
     fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("a tuple of service, idle and waiting")
+        formatter.write_str("a tuple of a service and its five counts")
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut sequence: A) -> Result<Self::Value, A::Error> {
         let missing = |index| serde::de::Error::invalid_length(index, &self);
         let service = sequence.next_element()?.ok_or_else(|| missing(0))?;
         let idle = sequence.next_element()?.ok_or_else(|| missing(1))?;
-        let waiting = sequence.next_element()?.ok_or_else(|| missing(2))?;
+        let slots = sequence.next_element()?.ok_or_else(|| missing(2))?;
+        let waiting_high = sequence.next_element()?.ok_or_else(|| missing(3))?;
+        let waiting = sequence.next_element()?.ok_or_else(|| missing(4))?;
+        let mean_us = sequence.next_element()?.ok_or_else(|| missing(5))?;
         // Later versions may append elements; they are skipped.
         while sequence.next_element::<IgnoredAny>()?.is_some() {}
-        Ok(ServiceReport { service, idle, waiting })
+        Ok(ServiceReport { service, idle, slots, waiting_high, waiting, mean_us })
     }
 }
 
@@ -121,44 +130,6 @@
         /// The view.
         view: GroupView,
     },
-    /// Asks for a slot for one waiting request.
-    Want {
-        /// Name of the service.
-        service: String,
-        /// The waiting try at the sender.
-        id: RequestId,
-        /// Importance.
-        priority: RequestPriority,
-        /// Time left to the deadline.
-        patience: Duration,
-        /// The sender's monotonic clock.
-        clock: PolicyTime,
-    },
-    /// Takes a want back.
-    Withdraw {
-        /// Name of the service.
-        service: String,
-        /// The try that no longer waits.
-        id: RequestId,
-    },
-    /// Lends a slot for one waiting request.
-    Grant {
-        /// Name of the service.
-        service: String,
-        /// The waiting try at the receiver.
-        id: RequestId,
-        /// The loan.
-        loan: SlotLoan,
-    },
-    /// Returns a loan.
-    Return {
-        /// Name of the service.
-        service: String,
-        /// The loan.
-        loan: LoanId,
-        /// How the exchange ended; absent when the loan was not used.
-        report: Option<LoanReport>,
-    },
     /// Shares the standing of a request that brought an endpoint down.
     Suspect {
         /// Digest of the request.
--- a/crates/jackdawmux_policy/src/queue.rs
+++ b/crates/jackdawmux_policy/src/queue.rs
@@ -3,23 +3,14 @@
 use std::collections::{BTreeMap, HashMap};
 
 use crate::clock::PolicyTime;
-use crate::identity::{IncarnationId, RequestId};
+use crate::identity::RequestId;
 use crate::table::RequestPriority;
 
-/// Who waits for a slot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum WaiterOrigin {
-    /// A request at this instance.
-    Local(RequestId),
-    /// A peer's request, waiting here for a loan.
-    Peer(IncarnationId, RequestId),
-}
-
 /// One waiting request.
 #[derive(Clone, Copy, Debug)]
 pub struct QueuedWaiter {
-    /// Who waits.
-    pub origin: WaiterOrigin,
+    /// The waiting try.
+    pub id: RequestId,
     /// Importance.
     pub priority: RequestPriority,
     /// When waiting longer is of no use.
@@ -32,7 +23,7 @@
 #[derive(Debug, Default)]
 pub struct WaitQueue {
     by_order: BTreeMap<QueueKey, QueuedWaiter>,
-    keys: HashMap<WaiterOrigin, QueueKey>,
+    keys: HashMap<RequestId, QueueKey>,
     next_sequence: u64,
 }
 
@@ -55,20 +46,20 @@
         self.by_order.range(..=(priority, u64::MAX)).count()
     }
 
-    /// Adds a waiter; a second entry of the same origin is ignored.
+    /// Adds a waiter; a second entry of the same try is ignored.
     pub fn push(&mut self, waiter: QueuedWaiter) {
-        if self.keys.contains_key(&waiter.origin) {
+        if self.keys.contains_key(&waiter.id) {
             return;
         }
         let key = (waiter.priority, self.next_sequence);
         self.next_sequence += 1;
-        self.keys.insert(waiter.origin, key);
+        self.keys.insert(waiter.id, key);
         self.by_order.insert(key, waiter);
     }
 
     /// Removes one waiter, if it is still there.
-    pub fn remove(&mut self, origin: WaiterOrigin) -> Option<QueuedWaiter> {
-        let key = self.keys.remove(&origin)?;
+    pub fn remove(&mut self, id: RequestId) -> Option<QueuedWaiter> {
+        let key = self.keys.remove(&id)?;
         self.by_order.remove(&key)
     }
 
@@ -84,8 +75,8 @@
         if key.0 <= priority {
             return None;
         }
-        let origin = waiter.origin;
-        self.remove(origin)
+        let id = waiter.id;
+        self.remove(id)
     }
 
     /// Removes all waiters whose deadline has come.
@@ -93,21 +84,13 @@
         let expired: Vec<_> =
             self.by_order.values().filter(|waiter| waiter.deadline <= now).copied().collect();
         for waiter in &expired {
-            self.remove(waiter.origin);
+            self.remove(waiter.id);
         }
         expired
     }
 
-    /// Removes all waiters of one peer.
-    pub fn drop_peer(&mut self, peer: IncarnationId) {
-        let origins: Vec<_> = self
-            .keys
-            .keys()
-            .filter(|origin| matches!(origin, WaiterOrigin::Peer(owner, _) if *owner == peer))
-            .copied()
-            .collect();
-        for origin in origins {
-            self.remove(origin);
-        }
+    /// The first waiters, in order.
+    pub fn first(&self, count: usize) -> impl Iterator<Item = &QueuedWaiter> {
+        self.by_order.values().take(count)
     }
 }
--- a/crates/jackdawmux_policy/src/steering.rs
+++ b/crates/jackdawmux_policy/src/steering.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use crate::clock::PolicyTime;
-use crate::desk::{DeskAction, DeskActions, DeskSettings, PeerReport, ServiceDesk, SlotRequest};
+use crate::desk::{DeskAction, DeskActions, DeskSettings, PeerState, ServiceDesk, SlotRequest};
 use crate::endpoint::{EndpointSlots, ExchangeResult};
 use crate::group::{GroupMember, GroupView, OwnerMove};
 use crate::identity::{IncarnationId, RequestId};
@@ -26,10 +26,10 @@
     pub lease: LeaseSettings,
     /// Most waiting requests of a service.
     pub queue_limit: usize,
-    /// Time from grant to the latest start of work under a loan.
-    pub loan_ttl: Duration,
-    /// Peers asked at once for one waiting request.
-    pub want_fanout: usize,
+    /// Time allowed between the check of a lease and the send that it covers.
+    pub send_ttl: Duration,
+    /// Whether requests may be passed on to peers.
+    pub passes_on: bool,
 }
 
 impl Default for SteeringSettings {
@@ -40,8 +40,8 @@
                 rate_margin: Duration::from_millis(300),
             },
             queue_limit: 512,
-            loan_ttl: Duration::from_secs(2),
-            want_fanout: 2,
+            send_ttl: Duration::from_secs(1),
+            passes_on: true,
         }
     }
 }
@@ -60,6 +60,13 @@
         /// Longest work covered by the slot.
         allowance: Duration,
     },
+    /// Pass a request on to a peer, which serves it from its own slots.
+    PassOn {
+        /// The try.
+        id: RequestId,
+        /// The peer.
+        peer: IncarnationId,
+    },
     /// Give a request its final answer now.
     Refuse {
         /// The try.
@@ -155,7 +162,7 @@
             };
             for endpoint in &service.endpoints {
                 let done = desk.amend(endpoint.address, endpoint.slots, endpoint.is_draining);
-                translate(&service.name, done, &mut actions);
+                translate(done, &mut actions);
             }
         }
         self.sync_owned(now);
@@ -223,7 +230,7 @@
             return actions;
         };
         desk.set_lease(self.membership.lease_until());
-        translate_at(service, now, desk.arrive(now, request), &mut actions);
+        translate(desk.arrive(now, request), &mut actions);
         actions
     }
 
@@ -245,18 +252,29 @@
         if let Some(desk) = self.desks.get_mut(service) {
             desk.set_lease(self.membership.lease_until());
             let done = desk.finish(now, id, result, latency);
-            translate_at(service, now, done, &mut actions);
+            translate(done, &mut actions);
         }
         actions
     }
 
     /// A waiting request is no longer wanted.
-    pub fn cancel(&mut self, now: PolicyTime, service: &str, id: RequestId) -> Vec<SteeringAction> {
-        let mut actions = Vec::new();
+    pub fn cancel(&mut self, service: &str, id: RequestId) {
         if let Some(desk) = self.desks.get_mut(service) {
-            translate_at(service, now, desk.cancel(id), &mut actions);
+            desk.cancel(id);
+        }
+    }
+
+    /// What peers are told about one service.
+    #[must_use]
+    pub fn service_report(&self, now: PolicyTime, service: &str) -> Option<ServiceReport> {
+        self.desks.get(service).map(|desk| desk.report(now, service))
+    }
+
+    /// Fresh counts of a peer, as they come with each answer of it.
+    pub fn hear_counts(&mut self, peer: IncarnationId, report: ServiceReport) {
+        if let Some(desk) = self.desks.get_mut(&report.service) {
+            desk.hear_counts(peer, report);
         }
-        actions
     }
 
     /// A message of a peer arrived.
@@ -271,38 +289,11 @@
         let mut lease_actions = Vec::new();
         self.membership.receive(now, peer, &message, &mut lease_actions);
         actions.extend(lease_actions.into_iter().map(from_membership));
-        let lease = self.membership.lease_until();
         match message {
-            SteeringMessage::Pulse(pulse) => self.hear_pulse(now, peer, pulse, &mut actions),
+            SteeringMessage::Pulse(pulse) => self.hear_pulse(peer, pulse, &mut actions),
             SteeringMessage::ViewOffer { version, view } => {
                 actions.extend(self.see_view(now, version, view));
             }
-            SteeringMessage::Want { service, id, priority, patience, clock } => {
-                if let Some(desk) = self.desks.get_mut(&service) {
-                    desk.set_lease(lease);
-                    desk.note_clock(peer, clock);
-                    let done = desk.want(now, peer, id, priority, patience);
-                    translate_at(&service, now, done, &mut actions);
-                }
-            }
-            SteeringMessage::Withdraw { service, id } => {
-                if let Some(desk) = self.desks.get_mut(&service) {
-                    desk.withdraw(peer, id);
-                }
-            }
-            SteeringMessage::Grant { service, id, loan } => {
-                if let Some(desk) = self.desks.get_mut(&service) {
-                    let done = desk.grant(now, peer, id, loan);
-                    translate_at(&service, now, done, &mut actions);
-                }
-            }
-            SteeringMessage::Return { service, loan, report } => {
-                if let Some(desk) = self.desks.get_mut(&service) {
-                    desk.set_lease(lease);
-                    let done = desk.take_back(now, peer, loan, report);
-                    translate_at(&service, now, done, &mut actions);
-                }
-            }
             SteeringMessage::PromiseAsk { .. }
             | SteeringMessage::PromiseGiven { .. }
             | SteeringMessage::VowAsk { .. }
@@ -316,11 +307,11 @@
     /// Regular work, several times a second.
     pub fn pulse(&mut self, now: PolicyTime) -> Vec<SteeringAction> {
         let mut actions = Vec::new();
-        self.drop_silent_peers(now, &mut actions);
+        self.drop_silent_peers(now);
         let lease = self.membership.lease_until();
-        for (service, desk) in &mut self.desks {
+        for desk in self.desks.values_mut() {
             desk.set_lease(lease);
-            translate_at(service, now, desk.tick(now), &mut actions);
+            translate(desk.tick(now), &mut actions);
         }
         self.advance(now, &mut actions);
         let pulse = self.report(now);
@@ -331,20 +322,17 @@
         actions
     }
 
-    /// A planned stop begins: no new loans, and endpoints are handed over as they fall idle.
+    /// A planned stop begins: endpoints are handed over as they fall idle.
     pub fn leave(&mut self, now: PolicyTime) -> Vec<SteeringAction> {
         self.membership.leave();
-        for desk in self.desks.values_mut() {
-            desk.leave();
-        }
         self.pulse(now)
     }
 
-    /// Whether nothing runs, waits or is lent here any more.
+    /// Whether nothing runs or waits here any more.
     #[must_use]
     pub fn is_drained(&self) -> bool {
         self.desks.values().all(|desk| {
-            let is_unused = desk.endpoints().iter().all(|endpoint| endpoint.used() == 0);
+            let is_unused = desk.endpoints().iter().all(|endpoint| endpoint.used == 0);
             is_unused && desk.running() == 0 && desk.waiting() == 0
         })
     }
@@ -352,9 +340,8 @@
     fn add_desk(&mut self, service: &ServiceSpec) {
         let settings = DeskSettings {
             queue_limit: self.settings.queue_limit,
-            loan_ttl: self.settings.loan_ttl,
             longest_work: service.longest_timeout(),
-            want_fanout: self.settings.want_fanout,
+            passes_on: self.settings.passes_on,
         };
         let domain = &self.domain;
         let desk = self
@@ -391,7 +378,7 @@
                 if self.releasing.iter().any(is_leaving) {
                     continue;
                 }
-                let settle = self.settings.loan_ttl + service.longest_timeout();
+                let settle = self.settings.send_ttl + service.longest_timeout();
                 let usable_at = if record.is_clean { now } else { now + settle };
                 let region = table.region_of(&endpoint.domain).unwrap_or_default();
                 let (address, domain) = (endpoint.address, &endpoint.domain);
@@ -435,11 +422,11 @@
         actions.extend(planned.into_iter().map(from_membership));
     }
 
-    fn drop_silent_peers(&mut self, now: PolicyTime, actions: &mut Vec<SteeringAction>) {
+    fn drop_silent_peers(&mut self, now: PolicyTime) {
         let living: Vec<_> = self.membership.living(now).collect();
-        for (service, desk) in &mut self.desks {
+        for desk in self.desks.values_mut() {
             for peer in desk.silent_peers(&living) {
-                translate_at(service, now, desk.lose_peer(now, peer), actions);
+                desk.lose_peer(peer);
             }
         }
     }
@@ -456,11 +443,7 @@
     }
 
     fn report(&self, now: PolicyTime) -> InstancePulse {
-        let reports = self.desks.iter().map(|(service, desk)| ServiceReport {
-            service: service.clone(),
-            idle: desk.idle(now),
-            waiting: u32::try_from(desk.waiting()).unwrap_or(u32::MAX),
-        });
+        let reports = self.desks.iter().map(|(service, desk)| desk.report(now, service));
         InstancePulse {
             clock: now,
             config_version: self.config_version,
@@ -472,7 +455,6 @@
 
     fn hear_pulse(
         &mut self,
-        now: PolicyTime,
         peer: IncarnationId,
         pulse: InstancePulse,
         actions: &mut Vec<SteeringAction>,
@@ -487,13 +469,11 @@
             let Some(desk) = self.desks.get_mut(&report.service) else {
                 continue;
             };
-            desk.note_clock(peer, pulse.clock);
             if pulse.is_leaving {
-                translate_at(&report.service, now, desk.lose_lender(now, peer), actions);
+                desk.lose_peer(peer);
                 continue;
             }
-            let (idle, waiting) = (report.idle, report.waiting);
-            desk.hear(peer, PeerReport { idle, waiting, region: region.clone(), delay });
+            desk.hear(peer, PeerState { report, passed: 0, region: region.clone(), delay });
         }
     }
 }
@@ -506,37 +486,13 @@
     }
 }
 
-fn translate(service: &str, done: DeskActions, actions: &mut Vec<SteeringAction>) {
-    translate_at(service, PolicyTime::default(), done, actions);
-}
-
-/// Turns a desk's actions into the instance's; `now` stamps wants.
-fn translate_at(
-    service: &str,
-    now: PolicyTime,
-    done: DeskActions,
-    actions: &mut Vec<SteeringAction>,
-) {
-    let named = || service.to_owned();
+fn translate(done: DeskActions, actions: &mut Vec<SteeringAction>) {
     actions.extend(done.into_iter().map(|action| match action {
         DeskAction::Dispatch { id, endpoint, domain, allowance } => {
             SteeringAction::Dispatch { id, endpoint, domain, allowance }
         }
+        DeskAction::PassOn { id, peer } => SteeringAction::PassOn { id, peer },
         DeskAction::Refuse { id, refusal } => SteeringAction::Refuse { id, refusal },
         DeskAction::CloseIdle(address) => SteeringAction::CloseIdle(address),
-        DeskAction::Want { peer, id, priority, patience } => {
-            let service = named();
-            let want = SteeringMessage::Want { service, id, priority, patience, clock: now };
-            SteeringAction::Send(peer, want)
-        }
-        DeskAction::Withdraw { peer, id } => {
-            SteeringAction::Send(peer, SteeringMessage::Withdraw { service: named(), id })
-        }
-        DeskAction::Grant { peer, id, loan } => {
-            SteeringAction::Send(peer, SteeringMessage::Grant { service: named(), id, loan })
-        }
-        DeskAction::Return { peer, loan, report } => {
-            SteeringAction::Send(peer, SteeringMessage::Return { service: named(), loan, report })
-        }
     }));
 }
--- a/crates/jackdawmux_standins/src/experiment/baseline.rs
+++ b/crates/jackdawmux_standins/src/experiment/baseline.rs
@@ -13,7 +13,7 @@
 /// Time between load reports, in microseconds.
 const REPORT_US: u64 = 1_000_000;
 
-/// One queue with instant knowledge of every slot: what no distributed policy can beat.
+/// One queue with instant knowledge of every slot and no distances: a bound for every policy.
 #[derive(Debug, Default)]
 pub struct CentralQueue {
     free: Vec<u32>,
@@ -57,6 +57,10 @@
         "ideal central queue".to_owned()
     }
 
+    fn is_everywhere(&self) -> bool {
+        true
+    }
+
     fn begin(&mut self, model: &ExperimentModel) -> Vec<PolicyStep> {
         self.free = model.endpoints.iter().map(|endpoint| endpoint.slots).collect();
         self.domains = model.endpoints.iter().map(|endpoint| endpoint.domain).collect();
--- a/crates/jackdawmux_standins/src/experiment/world.rs
+++ b/crates/jackdawmux_standins/src/experiment/world.rs
@@ -51,6 +51,15 @@
         endpoint: usize,
         end: AnswerEnd,
     ) -> Vec<PolicyStep>;
+    /// Whether the policy is spared all distances, as a bound that no real one can reach.
+    fn is_everywhere(&self) -> bool {
+        false
+    }
+    /// Time that a request's answer travels on after it reached the entry that sent it.
+    fn return_us(&self, request: usize) -> u64 {
+        let _unused = request;
+        0
+    }
     /// A wake-up that the policy asked for.
     fn wake(&mut self, now: u64, token: u64) -> Vec<PolicyStep>;
     /// A failure domain died with its entry.
@@ -118,6 +127,7 @@
     sequence: u64,
     running: Vec<u32>,
     dead_domain: Option<usize>,
+    is_everywhere: bool,
     report: WorldReport,
     busy_us: u64,
 }
@@ -146,6 +156,7 @@
         sequence: 0,
         running: vec![0; model.endpoints.len()],
         dead_domain: None,
+        is_everywhere: policy.is_everywhere(),
         report,
         busy_us: 0,
     };
@@ -191,6 +202,9 @@
     }
 
     fn delay(&self, entry: usize, endpoint: usize) -> u64 {
+        if self.is_everywhere {
+            return 0;
+        }
         let from = self.model.domain_of_entry(entry);
         self.model.delay_us(from, self.model.endpoints[endpoint].domain)
     }
@@ -218,7 +232,7 @@
                     1 => AnswerEnd::Shed,
                     _ => AnswerEnd::Dead,
                 };
-                self.count(now, request, end);
+                self.count(now + policy.return_us(request), request, end);
                 policy.answered(now, request, endpoint, end)
             }
             WorldEvent::Wake(token) => policy.wake(now, token),
