A leaving entry passes its tickets on to one heir

Ruled out: callers' caches of look-ups (0 errors), own keys (their claims are in the store).

Now pulses name the estates held, an heir that leaves passes estates on, and a ticket of a home that said it leaves waits up to 3 s, inside its deadline, for the heir to be known. A killed home's tickets are answered unknown at once, as before. The home stops first and sends then: a lost hand-over loses the tickets, it never doubles them.

--- a/crates/jackdawmux_entry/src/process/context.rs
+++ b/crates/jackdawmux_entry/src/process/context.rs
@@ -73,7 +73,7 @@
     /// Steering state.
     pub(crate) steering: ActorRef<SteeringActor>,
     /// Keys of operations that run at most once.
-    pub once: OnceDesk,
+    pub once: Arc<OnceDesk>,
     /// Counts of requests moved by shifts.
     pub shifts: ShiftDesk,
     /// The configuration in force.
@@ -95,6 +95,7 @@
     pub(crate) keys: PeerKeys,
     pub(crate) store: Arc<dyn ObjectStore>,
     pub(crate) pool: UpstreamPool,
+    pub(crate) once: Arc<OnceDesk>,
     pub(crate) steering: ActorRef<SteeringActor>,
     pub(crate) force: watch::Receiver<Option<Arc<ForceState>>>,
     pub(crate) directory: watch::Receiver<Arc<EntryDirectory>>,
@@ -102,7 +103,6 @@
 
 impl EntryContext {
     pub(crate) fn new(parts: ContextParts) -> Self {
-        let once = OnceDesk::new(parts.incarnation);
         Self {
             settings: parts.settings,
             incarnation: parts.incarnation,
@@ -114,7 +114,7 @@
             store: parts.store,
             pool: parts.pool,
             steering: parts.steering,
-            once,
+            once: parts.once,
             shifts: ShiftDesk::default(),
             force: parts.force,
             directory: parts.directory,
--- a/crates/jackdawmux_entry/src/process/launch.rs
+++ b/crates/jackdawmux_entry/src/process/launch.rs
@@ -25,13 +25,14 @@
 use super::metrics::EntryMetrics;
 use super::settings::{EntrySettings, parse_settings, settings_parser};
 use super::steering::{
-    AskDeparture, PulseTick, PutInForce, StartLeaving, SteeringActor, SteeringParts, WaitDrained,
+    AskDeparture, Bequeath, PulseTick, PutInForce, StartLeaving, SteeringActor, SteeringParts,
+    WaitDrained,
 };
 use super::timeline::EventLog;
 use super::timer::TimerService;
 use super::view::{view_key, watch_view};
 use crate::connection::{CallerListener, ListenerLimits, UpstreamPool};
-use crate::request::build_router;
+use crate::request::{OnceDesk, build_router};
 use crate::version::{ConfigActor, ConfigParts, ForceState, HeadWatch, watch_head};
 
 /// Time between pulses to peers.
@@ -46,6 +47,8 @@
 const LEAVE_LONGEST: Duration = Duration::from_secs(60);
 /// Pause between checks whether everything has ended.
 const DRAIN_CHECK: Duration = Duration::from_millis(50);
+/// Time for the last frames to reach peers.
+const FRAME_FLUSH: Duration = Duration::from_millis(100);
 /// Tries to write the view without this instance.
 const DEPARTURE_TRIES: usize = 5;
 
@@ -167,6 +170,7 @@
             .context(PeerSnafu)?;
         hub.seed(&settings.seeds);
         let pool = UpstreamPool::default();
+        let once = Arc::new(OnceDesk::new(identity.incarnation));
         let (directory_sender, directory) = watch::channel(Arc::new(EntryDirectory::default()));
         let (force_sender, force) = watch::channel(None);
         let config = ConfigActor::spawn(ConfigParts {
@@ -184,6 +188,7 @@
             view_key: key.clone(),
             events: Arc::clone(&events),
             pool: pool.clone(),
+            once: Arc::clone(&once),
             directory: directory_sender,
             config: config.clone(),
         };
@@ -200,6 +205,7 @@
             keys,
             store: Arc::clone(&store),
             pool,
+            once,
             steering: steering.clone(),
             force: force.clone(),
             directory,
@@ -247,6 +253,10 @@
         tokio::time::sleep(LEAVE_NOTICE + context.settings.lookup_ttl).await;
         listener.shut_down(LEAVE_LONGEST).await;
         wait_drained(&context).await;
+        // Nothing can be started here any more; only now may another process run its tickets.
+        if context.steering.tell(Bequeath).await.is_ok() {
+            tokio::time::sleep(FRAME_FLUSH).await;
+        }
         depart(&context).await;
         context.events.record("stopped", &[]);
         tasks.shutdown().await;
--- a/crates/jackdawmux_entry/src/process/steering.rs
+++ b/crates/jackdawmux_entry/src/process/steering.rs
@@ -13,12 +13,13 @@
 use jackdawmux_policy::desk::SlotRequest;
 use jackdawmux_policy::endpoint::{EndpointState, ExchangeResult};
 use jackdawmux_policy::group::GroupView;
-use jackdawmux_policy::identity::{IncarnationId, RequestId};
+use jackdawmux_policy::identity::{IncarnationId, RequestId, mix64};
 use jackdawmux_policy::message::{ServiceReport, SteeringMessage};
 use jackdawmux_policy::outcome::{RefusalReason, RequestRefusal};
 use jackdawmux_policy::poison::{PoisonSettings, RequestDigest, SuspectLevel, SuspectList};
 use jackdawmux_policy::steering::{InstanceSteering, SteeringAction};
 use jackdawmux_policy::table::RouteTable;
+use jackdawmux_policy::ticket::TicketEstate;
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
@@ -30,6 +31,7 @@
 use super::view::write_view;
 use crate::connection::UpstreamPool;
 use crate::process::timeline::EventLog;
+use crate::request::OnceDesk;
 use crate::version::{ConfigActor, OfferConfig};
 
 /// Bounds of the list of requests that brought endpoints down.
@@ -137,6 +139,10 @@
 #[derive(Debug)]
 pub(crate) struct WaitDrained;
 
+/// Everything has stopped: pass the tickets on.
+#[derive(Debug)]
+pub(crate) struct Bequeath;
+
 /// Asks for the view to write when leaving for good.
 #[derive(Debug)]
 pub(crate) struct AskDeparture;
@@ -225,6 +231,7 @@
     pub(crate) view_key: String,
     pub(crate) events: Arc<EventLog>,
     pub(crate) pool: UpstreamPool,
+    pub(crate) once: Arc<OnceDesk>,
     pub(crate) directory: watch::Sender<Arc<EntryDirectory>>,
     pub(crate) config: ActorRef<ConfigActor>,
 }
@@ -428,6 +435,14 @@
                 self.suspects.learn(self.now(), digest, level);
             }
             FrameBody::Steering(message) => {
+                if let SteeringMessage::Pulse(pulse) = &message {
+                    if pulse.is_leaving {
+                        self.parts.once.note_leaving(self.now(), peer);
+                    }
+                    for home in &pulse.estates {
+                        self.parts.once.note_heir(*home, peer);
+                    }
+                }
                 let seen = self.parts.steering.membership().version();
                 let actions = self.parts.steering.receive(self.now(), peer, message);
                 if self.parts.steering.membership().version() != seen {
@@ -436,6 +451,7 @@
                 }
                 self.carry_out(actions);
             }
+            FrameBody::Estate(estate) => self.inherit(peer, estate),
             FrameBody::ConfigAsk { have } => {
                 if let Some(content) = self.content.clone().filter(|known| known.version > have) {
                     self.send_body(peer, FrameBody::ConfigOffer((*content).clone()));
@@ -450,6 +466,38 @@
         }
     }
 
+    fn inherit(&mut self, peer: IncarnationId, estate: TicketEstate) {
+        if estate.heir != self.parts.own.incarnation {
+            return;
+        }
+        let (home, count) = (estate.home, estate.begun.len());
+        self.parts
+            .events
+            .record("tickets-inherited", &[("home", &home), ("peer", &peer), ("begun", &count)]);
+        self.parts.steering.hold_estate(home);
+        self.parts.once.inherit(self.now(), estate);
+    }
+
+    /// Passes the tickets of this process on to a living member, after everything has stopped.
+    fn bequeath(&mut self) {
+        let now = self.now();
+        let own = self.parts.own.incarnation;
+        let membership = self.parts.steering.membership();
+        let members = &membership.view().members;
+        let heir = members
+            .iter()
+            .filter(|member| member.incarnation != own && membership.is_usable(now, member))
+            .map(|member| member.incarnation)
+            .max_by_key(|peer| mix64(own.0 ^ peer.0));
+        let Some(heir) = heir else {
+            return;
+        };
+        for estate in self.parts.once.estates(own, heir, now) {
+            self.send_body(heir, FrameBody::Estate(estate));
+        }
+        self.parts.events.record("tickets-passed-on", &[("heir", &heir)]);
+    }
+
     /// Blames the request that ended with its endpoint's connection closed without an answer.
     fn blame(&mut self, id: RequestId) {
         let Some((digest, endpoint, was_alone)) = self.digests.get(&id).copied() else {
@@ -688,6 +736,14 @@
     }
 }
 
+impl Message<Bequeath> for SteeringActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Bequeath, _: &mut Context<Self, ()>) {
+        self.bequeath();
+    }
+}
+
 impl Message<AskDeparture> for SteeringActor {
     type Reply = Option<(u64, GroupView)>;
 
--- a/crates/jackdawmux_entry/src/request/once.rs
+++ b/crates/jackdawmux_entry/src/request/once.rs
@@ -20,7 +20,7 @@
 use super::pass_on::{PassEnd, PassReason, pass_on};
 use super::plan::RequestPlan;
 use super::refusal::refusal_response;
-use super::register::{JoinEnd, KEY_RETENTION};
+use super::register::{JoinEnd, KEY_RETENTION, TicketStanding};
 use crate::process::{DirectoryEntry, EntryContext, EntryDirectory};
 
 /// Longest idempotency key.
@@ -31,6 +31,8 @@
 const CLAIM_PAUSE: Duration = Duration::from_secs(1);
 /// Pause suggested while a request of the same key runs.
 const JOIN_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between looks for the heir of a leaving home.
+const HEIR_PAUSE: Duration = Duration::from_millis(50);
 /// Clock error allowed in a key that carries its time.
 const KEY_CLOCK_ERROR: Duration = Duration::from_secs(60);
 
@@ -51,7 +53,9 @@
     /// At another instance.
     There(DirectoryEntry),
     /// At a process that is gone.
-    Gone,
+    Gone(IncarnationId),
+    /// Its former home had begun it.
+    Begun,
     /// Nowhere: the key is forged or too old.
     Refused,
 }
@@ -74,13 +78,28 @@
         return refusal_response(RunOutcome::NotRun, refusal);
     }
     let digest = digest_of_key(&request.plan.service, &request.key);
-    match find_home(context, &request, digest) {
-        KeyHome::Here { keep_until, claims } => {
-            run_here(context, request, digest, keep_until, claims).await
+    let mut request = request;
+    loop {
+        let (gone, back) = match find_home(context, &request, digest) {
+            KeyHome::Here { keep_until, claims } => {
+                return run_here(context, request, digest, keep_until, claims).await;
+            }
+            KeyHome::There(home) => match run_there(context, request, digest, &home).await {
+                ThereEnd::Final(response) => return response,
+                ThereEnd::Unsent(request) => (home.incarnation, *request),
+            },
+            KeyHome::Gone(home) => (home, request),
+            KeyHome::Begun => return refuse(RunOutcome::Unknown, RefusalReason::KeyInUse),
+            KeyHome::Refused => return refuse(RunOutcome::NotRun, RefusalReason::KeyExpired),
+        };
+        request = back;
+        let now = context.clock.now();
+        let is_hopeless = !context.once.may_find_heir(now, gone) || now >= request.plan.deadline;
+        if is_hopeless {
+            // The home may have run it before it went away.
+            return refuse(RunOutcome::Unknown, RefusalReason::KeyInUse);
         }
-        KeyHome::There(home) => run_there(context, request, digest, home).await,
-        KeyHome::Gone => refuse(RunOutcome::Unknown, RefusalReason::KeyInUse),
-        KeyHome::Refused => refuse(RunOutcome::NotRun, RefusalReason::KeyExpired),
+        tokio::time::sleep(HEIR_PAUSE).await;
     }
 }
 
@@ -101,7 +120,7 @@
 fn find_home(context: &EntryContext, request: &OnceRequest, digest: KeyDigest) -> KeyHome {
     let now = context.clock.now();
     if is_ticket(&request.key) {
-        return ticket_home(context, now, request);
+        return ticket_home(context, now, request, digest);
     }
     if is_too_old(&request.key, context.clock.wall_ms()) {
         return KeyHome::Refused;
@@ -117,9 +136,17 @@
     }
 }
 
-fn ticket_home(context: &EntryContext, now: PolicyTime, request: &OnceRequest) -> KeyHome {
-    match context.once.verify(now, &request.key) {
-        Ok(ticket) => KeyHome::Here { keep_until: ticket.expires, claims: false },
+fn ticket_home(
+    context: &EntryContext,
+    now: PolicyTime,
+    request: &OnceRequest,
+    digest: KeyDigest,
+) -> KeyHome {
+    match context.once.verify(now, &request.key, digest) {
+        Ok(TicketStanding::Runnable(ticket)) => {
+            KeyHome::Here { keep_until: ticket.expires, claims: false }
+        }
+        Ok(TicketStanding::Begun) => KeyHome::Begun,
         Err(TicketError::Foreign(home)) => foreign_home(context, request, home),
         Err(TicketError::Malformed | TicketError::Forged | TicketError::Expired) => {
             KeyHome::Refused
@@ -131,7 +158,7 @@
     let directory = context.directory.borrow().clone();
     match directory.find(home) {
         Some(entry) if !request.is_passed_on => KeyHome::There(entry.clone()),
-        Some(_) | None => KeyHome::Gone,
+        Some(_) | None => KeyHome::Gone(home),
     }
 }
 
@@ -152,28 +179,35 @@
     wall_ms > made_ms.saturating_add(kept_ms)
 }
 
+/// How a request that was passed on to its home ended.
+enum ThereEnd {
+    /// With a final answer.
+    Final(Response<Body>),
+    /// A ticket whose home could not be reached; nothing was sent.
+    Unsent(Box<OnceRequest>),
+}
+
 async fn run_there(
     context: &Arc<EntryContext>,
     request: OnceRequest,
     digest: KeyDigest,
-    home: DirectoryEntry,
-) -> Response<Body> {
-    let OnceRequest { plan, body, key, .. } = request;
+    home: &DirectoryEntry,
+) -> ThereEnd {
+    let OnceRequest { plan, body, key, is_passed_on } = request;
     match pass_on(context, &plan, body, PassReason::Home, home.address).await {
-        PassEnd::Answered(response) => response,
+        PassEnd::Answered(response) => ThereEnd::Final(response),
         PassEnd::Lost => {
             let refusal = RequestRefusal::later(RefusalReason::UpstreamLost, JOIN_PAUSE);
-            refusal_response(RunOutcome::Unknown, refusal)
+            ThereEnd::Final(refusal_response(RunOutcome::Unknown, refusal))
         }
-        PassEnd::Unsent(_) if is_ticket(&key) => {
-            // Its home may have run it before it went away.
-            refuse(RunOutcome::Unknown, RefusalReason::KeyInUse)
+        PassEnd::Unsent(body) if is_ticket(&key) => {
+            ThereEnd::Unsent(Box::new(OnceRequest { plan, body, key, is_passed_on }))
         }
         PassEnd::Unsent(body) => {
             // The preference only saves conflicts; the claim decides.
             let request = OnceRequest { plan, body, key, is_passed_on: true };
             let keep_until = context.clock.now() + KEY_RETENTION;
-            run_here(context, request, digest, keep_until, true).await
+            ThereEnd::Final(run_here(context, request, digest, keep_until, true).await)
         }
     }
 }
--- a/crates/jackdawmux_entry/src/request/register.rs
+++ b/crates/jackdawmux_entry/src/request/register.rs
@@ -7,7 +7,7 @@
 use jackdawmux_policy::clock::PolicyTime;
 use jackdawmux_policy::identity::IncarnationId;
 use jackdawmux_policy::once::{BeginVerdict, KeyDigest, OnceEnd, OnceRegister, OnceSettings};
-use jackdawmux_policy::ticket::{HomeTicket, TicketError, TicketIssuer};
+use jackdawmux_policy::ticket::{HeldEstate, HomeTicket, TicketError, TicketEstate, TicketIssuer};
 use tokio::sync::oneshot;
 
 use super::answer::StoredAnswer;
@@ -22,6 +22,20 @@
 /// Most bytes of answers remembered.
 const ANSWER_BYTES_LIMIT: usize = 8 * 1024 * 1024;
 
+/// Time in which the heir of a leaving process becomes known.
+const HEIR_EXPECTED: Duration = Duration::from_secs(3);
+/// Heirs remembered; without one, a ticket's outcome is unknown.
+const HEIR_LIMIT: usize = 4_096;
+
+/// What may be done with a genuine ticket.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum TicketStanding {
+    /// It may run here.
+    Runnable(HomeTicket),
+    /// Its former home had begun it.
+    Begun,
+}
+
 /// How the request that others wait for ended.
 #[derive(Clone, Debug)]
 pub(crate) enum JoinEnd {
@@ -35,6 +49,9 @@
     register: OnceRegister<Arc<StoredAnswer>>,
     issuer: TicketIssuer,
     joiners: HashMap<KeyDigest, Vec<oneshot::Sender<JoinEnd>>>,
+    estates: HashMap<IncarnationId, HeldEstate>,
+    heirs: HashMap<IncarnationId, IncarnationId>,
+    leaving: HashMap<IncarnationId, PolicyTime>,
 }
 
 /// Keys of operations that run at most once.
@@ -55,7 +72,14 @@
         };
         let issuer = TicketIssuer::new(own, rand::random(), TICKET_LIFETIME);
         let register = OnceRegister::new(settings);
-        let state = Mutex::new(OnceState { register, issuer, joiners: HashMap::new() });
+        let state = Mutex::new(OnceState {
+            register,
+            issuer,
+            joiners: HashMap::new(),
+            estates: HashMap::new(),
+            heirs: HashMap::new(),
+            leaving: HashMap::new(),
+        });
         Self { state, claims: ClaimDesk::new(own) }
     }
 
@@ -65,9 +89,75 @@
         (0..count).map(|_| state.issuer.issue(now)).collect()
     }
 
-    /// Verifies a ticket of this process.
-    pub(crate) fn verify(&self, now: PolicyTime, text: &str) -> Result<HomeTicket, TicketError> {
-        self.lock().issuer.verify(now, text)
+    /// Verifies a ticket of this process, or of one whose estate it holds.
+    pub(crate) fn verify(
+        &self,
+        now: PolicyTime,
+        text: &str,
+        key: KeyDigest,
+    ) -> Result<TicketStanding, TicketError> {
+        let state = self.lock();
+        match state.issuer.verify(now, text) {
+            Ok(ticket) => Ok(TicketStanding::Runnable(ticket)),
+            Err(TicketError::Foreign(home)) => {
+                let Some(estate) = state.estates.get(&home) else {
+                    let home = state.heirs.get(&home).copied().unwrap_or(home);
+                    return Err(TicketError::Foreign(home));
+                };
+                let ticket = estate.verify(now, text)?;
+                let is_begun = estate.has_begun(&key);
+                Ok(if is_begun { TicketStanding::Begun } else { TicketStanding::Runnable(ticket) })
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// What this process passes on to its heir, once it has stopped and runs nothing more: its own
+    /// tickets and those that it inherited.
+    pub(crate) fn estates(
+        &self,
+        home: IncarnationId,
+        heir: IncarnationId,
+        now: PolicyTime,
+    ) -> Vec<TicketEstate> {
+        let state = self.lock();
+        let begun: Vec<KeyDigest> = state.register.keys().collect();
+        let inherited = state.estates.values().map(|held| held.pass_to(heir, now, &begun));
+        let mut estates: Vec<TicketEstate> = inherited.collect();
+        let secret = state.issuer.secret();
+        estates.push(TicketEstate { home, heir, secret, stopped_at: now, begun });
+        estates
+    }
+
+    /// Takes over the tickets of a process that has stopped.
+    pub(crate) fn inherit(&self, now: PolicyTime, estate: TicketEstate) {
+        let home = estate.home;
+        self.lock().estates.entry(home).or_insert_with(|| HeldEstate::new(estate, now));
+    }
+
+    /// Notes who holds the tickets of a process that has stopped.
+    pub(crate) fn note_heir(&self, home: IncarnationId, heir: IncarnationId) {
+        let mut state = self.lock();
+        if state.heirs.len() >= HEIR_LIMIT {
+            state.heirs.clear();
+        }
+        state.heirs.insert(home, heir);
+    }
+
+    /// A process says that it leaves; its tickets will pass to an heir.
+    pub(crate) fn note_leaving(&self, now: PolicyTime, home: IncarnationId) {
+        let mut state = self.lock();
+        state.leaving.retain(|_, noted| now.since(*noted) < HEIR_EXPECTED);
+        state.leaving.insert(home, now);
+    }
+
+    /// Whether an heir of a process may still come to be known: it said lately that it leaves, or
+    /// this process is too young to have heard of what its peers hold.
+    pub(crate) fn may_find_heir(&self, now: PolicyTime, home: IncarnationId) -> bool {
+        let is_young = now < PolicyTime::default() + HEIR_EXPECTED;
+        let state = self.lock();
+        let noted = state.leaving.get(&home);
+        is_young || noted.is_some_and(|noted| now.since(*noted) < HEIR_EXPECTED)
     }
 
     pub(crate) fn begin(
--- a/crates/jackdawmux_peer/tests/frames.rs
+++ b/crates/jackdawmux_peer/tests/frames.rs
@@ -29,6 +29,7 @@
         view_version: 3,
         reports: vec![report],
         is_leaving: false,
+        estates: Vec::new(),
     };
     let stamp = HybridStamp { wall_ms: 1, logical: 2 };
     PeerFrame { stamp, body: FrameBody::Steering(SteeringMessage::Pulse(pulse)) }
--- a/crates/jackdawmux_policy/src/message.rs
+++ b/crates/jackdawmux_policy/src/message.rs
@@ -84,6 +84,9 @@
     pub reports: Vec<ServiceReport>,
     /// Whether the sender is leaving.
     pub is_leaving: bool,
+    /// Former processes whose tickets the sender holds.
+    #[serde(default)]
+    pub estates: Vec<IncarnationId>,
 }
 
 /// A message between two instances.
--- a/crates/jackdawmux_policy/src/once.rs
+++ b/crates/jackdawmux_policy/src/once.rs
@@ -98,6 +98,11 @@
         self.entries.is_empty()
     }
 
+    /// Keys that have been begun, in whatever state.
+    pub fn keys(&self) -> impl Iterator<Item = KeyDigest> + '_ {
+        self.entries.keys().copied()
+    }
+
     /// A request with `key` arrived. `keep_until` is when the key can no longer be accepted.
     pub fn begin(
         &mut self,
--- a/crates/jackdawmux_policy/src/steering.rs
+++ b/crates/jackdawmux_policy/src/steering.rs
@@ -19,6 +19,9 @@
 use crate::outcome::{RefusalReason, RequestRefusal};
 use crate::table::{RouteTable, ServiceSpec};
 
+/// Former processes whose tickets an instance tells its peers to hold, the latest ones.
+const ESTATE_LIMIT: usize = 32;
+
 /// Fixed settings of the steering state.
 #[derive(Clone, Copy, Debug)]
 pub struct SteeringSettings {
@@ -103,6 +106,7 @@
     identities: BTreeMap<IncarnationId, String>,
     releasing: Vec<OwnerMove>,
     next_pulse: usize,
+    estates: Vec<IncarnationId>,
 }
 
 impl InstanceSteering {
@@ -119,6 +123,7 @@
             identities: BTreeMap::new(),
             releasing: Vec::new(),
             next_pulse: 0,
+            estates: Vec::new(),
         }
     }
 
@@ -212,6 +217,14 @@
         self.membership.end_write();
     }
 
+    /// This instance holds the tickets of a former process; peers are told with each pulse.
+    pub fn hold_estate(&mut self, home: IncarnationId) {
+        if self.estates.len() >= ESTATE_LIMIT {
+            self.estates.remove(0);
+        }
+        self.estates.push(home);
+    }
+
     /// A peer in `domain` proved itself on a link.
     pub fn meet(&mut self, now: PolicyTime, peer: IncarnationId, domain: &str) {
         self.identities.insert(peer, domain.to_owned());
@@ -464,6 +477,7 @@
             view_version: self.membership.version(),
             reports: reports.collect(),
             is_leaving: self.membership.is_leaving(),
+            estates: self.estates.clone(),
         }
     }
 
--- a/crates/jackdawmux_policy/src/ticket.rs
+++ b/crates/jackdawmux_policy/src/ticket.rs
@@ -4,13 +4,18 @@
 //! monotonic clock, authenticated under a key that exists only in the home's memory. Only the
 //! home ever runs it, so no store call and no agreement of clocks is needed.
 
+use std::collections::HashSet;
+use std::fmt;
+use std::time::Duration;
+
 use hmac::{Hmac, KeyInit, Mac};
+use serde::{Deserialize, Serialize};
 use sha2::Sha256;
-use std::time::Duration;
 use strum::Display;
 
 use crate::clock::PolicyTime;
 use crate::identity::IncarnationId;
+use crate::once::KeyDigest;
 
 /// First characters of every ticket.
 pub const TICKET_PREFIX: &str = "jt1-";
@@ -71,6 +76,12 @@
         format!("{body}-{code}")
     }
 
+    /// The secret, to be passed on when this process leaves.
+    #[must_use]
+    pub const fn secret(&self) -> [u8; 32] {
+        self.secret
+    }
+
     /// Verifies a ticket issued by this process.
     ///
     /// # Errors
@@ -99,19 +110,88 @@
     }
 }
 
+/// What a leaving home passes on, after it has stopped: enough for one heir to verify its tickets
+/// and to know which of them it must not run.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TicketEstate {
+    /// The process that issued the tickets.
+    pub home: IncarnationId,
+    /// The only process that may run them from now on.
+    pub heir: IncarnationId,
+    /// Secret of the home.
+    pub secret: [u8; 32],
+    /// The home's clock when it stopped.
+    pub stopped_at: PolicyTime,
+    /// Digests of keys that the home has begun.
+    pub begun: Vec<KeyDigest>,
+}
+
+impl fmt::Debug for TicketEstate {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { home, heir, begun, .. } = self;
+        write!(formatter, "TicketEstate({home} to {heir}, {} begun, secret hidden)", begun.len())
+    }
+}
+
+/// An estate at its heir.
+#[derive(Debug)]
+pub struct HeldEstate {
+    issuer: TicketIssuer,
+    stopped_at: PolicyTime,
+    received_at: PolicyTime,
+    begun: HashSet<KeyDigest>,
+}
+
+impl HeldEstate {
+    /// Takes an estate over at `now`.
+    #[must_use]
+    pub fn new(estate: TicketEstate, now: PolicyTime) -> Self {
+        let issuer = TicketIssuer::new(estate.home, estate.secret, Duration::ZERO);
+        let begun = estate.begun.into_iter().collect();
+        Self { issuer, stopped_at: estate.stopped_at, received_at: now, begun }
+    }
+
+    /// Verifies a ticket of the former home; its expiry is moved to this process's clock.
+    ///
+    /// # Errors
+    /// When the ticket is forged or expired.
+    pub fn verify(&self, now: PolicyTime, text: &str) -> Result<HomeTicket, TicketError> {
+        let there = self.stopped_at + now.since(self.received_at);
+        let ticket = self.issuer.verify(there, text)?;
+        let expires = now + ticket.expires.since(there);
+        Ok(HomeTicket { expires, ..ticket })
+    }
+
+    /// The same estate for the next heir, when this process leaves in turn.
+    #[must_use]
+    pub fn pass_to(
+        &self,
+        heir: IncarnationId,
+        now: PolicyTime,
+        begun_here: &[KeyDigest],
+    ) -> TicketEstate {
+        TicketEstate {
+            home: self.issuer.home,
+            heir,
+            secret: self.issuer.secret,
+            stopped_at: self.stopped_at + now.since(self.received_at),
+            begun: self.begun.iter().chain(begun_here).copied().collect(),
+        }
+    }
+
+    /// Whether the former home had begun the key.
+    #[must_use]
+    pub fn has_begun(&self, key: &KeyDigest) -> bool {
+        self.begun.contains(key)
+    }
+}
+
 /// Whether `key` claims to be a ticket.
 #[must_use]
 pub fn is_ticket(key: &str) -> bool {
     key.starts_with(TICKET_PREFIX)
 }
 
-/// The home named by a ticket, without verifying it.
-#[must_use]
-pub fn claimed_home(key: &str) -> Option<IncarnationId> {
-    let (body, _) = key.rsplit_once('-')?;
-    parse_body(body).map(|ticket| ticket.home)
-}
-
 fn body_text(ticket: &HomeTicket) -> String {
     format!("{TICKET_PREFIX}{}-{:x}-{:x}", ticket.home, ticket.sequence, ticket.expires.0)
 }
