--- /dev/null
+++ b/crates/jackdawmux_ctl/tests/cli.rs
@@ -0,0 +1,88 @@
+//! The command line by itself: exit codes, mistakes and the picture of the time line.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use jackdawmux_ctl::plot_timeline;
+use jackdawmux_entry::process::TimelineEvent;
+use jackdawmux_policy::hlc::HybridStamp;
+use rstest::rstest;
+
+fn ctl(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_jackdawctl"))
+        .env_remove("JACKDAWMUX_STORE")
+        .args(arguments)
+        .output()
+        .expect("jackdawctl runs")
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("jackdawctl-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).expect("the file");
+    path
+}
+
+const GOOD: &str = "region north domains north-a  # Min-ji: sites\n";
+
+#[rstest]
+#[case::help(&["--help"], 0)]
+#[case::no_command(&[], 2)]
+#[case::unknown_command(&["destroy"], 2)]
+#[case::unknown_form(&["--output", "xml", "log"], 2)]
+#[case::no_store(&["log"], 2)]
+#[case::missing_file(&["check", "/nowhere/at.all"], 1)]
+#[case::nobody_listens(&["--store", "http://127.0.0.1:9", "log"], 1)]
+fn exit_codes(#[case] arguments: &[&str], #[case] code: i32) {
+    let output = ctl(arguments);
+    assert_eq!(output.status.code(), Some(code), "{output:?}");
+}
+
+#[test]
+fn a_good_file_is_counted_and_a_bad_one_explained() {
+    let good = file("good.rules", GOOD);
+    let output = ctl(&["--output", "json", "check", &good.display().to_string()]);
+    assert!(output.status.success());
+    assert!(String::from_utf8_lossy(&output.stdout).contains("\"rules\": 1"));
+    let bad = file("bad.rules", &GOOD.replace("# Min-ji: sites", ""));
+    let output = ctl(&["check", &bad.display().to_string()]);
+    assert_eq!(output.status.code(), Some(1));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(text.contains("no comment naming who asked") && text.contains("mend:"), "{text}");
+    for path in [good, bad] {
+        std::fs::remove_file(path).expect("the file");
+    }
+}
+
+#[test]
+fn an_accept_that_nobody_answers_changes_nothing() {
+    let good = file("accept.rules", GOOD);
+    let path = good.display().to_string();
+    let output = ctl(&["--store", "http://127.0.0.1:9", "accept", &path]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("nothing was changed"));
+    std::fs::remove_file(good).expect("the file");
+}
+
+#[test]
+fn the_picture_names_instances_and_kinds() {
+    let event = |instance: &str, kind: &str, wall_ms| TimelineEvent {
+        stamp: HybridStamp { wall_ms, logical: 0 },
+        instance: instance.to_owned(),
+        kind: kind.to_owned(),
+        fields: Vec::new(),
+    };
+    let events = [
+        event("entry-0", "started", 1_000),
+        event("entry-1", "started", 1_200),
+        event("entry-1", "joined", 1_900),
+        event("entry-0", "joined", 2_400),
+        event("entry-0", "lease-held", 2_500),
+    ];
+    let path = file("timeline.svg", "");
+    plot_timeline(&path, &events).expect("the picture");
+    let picture = std::fs::read_to_string(&path).expect("the picture");
+    for word in ["entry-0", "entry-1", "lease-held", "seconds"] {
+        assert!(picture.contains(word), "{word} is missing");
+    }
+    std::fs::remove_file(path).expect("the picture");
+}
--- a/crates/jackdawmux_entry/src/request/router.rs
+++ b/crates/jackdawmux_entry/src/request/router.rs
@@ -6,7 +6,7 @@
 use axum::Router;
 use axum::body::Body;
 use axum::extract::{ConnectInfo, State};
-use axum::http::header::CONNECTION;
+use axum::http::header::{CONNECTION, TRANSFER_ENCODING};
 use axum::http::{HeaderValue, Request, Response};
 use axum::routing::{get, post};
 use jackdawmux_policy::outcome::{RequestRefusal, RunOutcome};
@@ -43,6 +43,7 @@
 ) -> Response<Body> {
     let begun = context.clock.now();
     let service = request.uri().path().split('/').nth(1).unwrap_or_default().to_owned();
+    let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let mut response = match answer(&context, caller, request).await {
         Ok(response) => response,
         Err(refusal) => refusal_response(RunOutcome::NotRun, refusal),
@@ -56,8 +57,9 @@
     let outcome = response.headers().get(OUTCOME_HEADER).and_then(|value| value.to_str().ok());
     let latency = context.clock.now().since(begun);
     context.metrics.count_request(label, outcome.unwrap_or("unknown"), latency);
-    if !is_usable_here(&context) {
-        // A leaving instance asks its callers to open no further request on this connection.
+    // A leaving instance asks its callers to open no further request on this connection. After a
+    // chunked request, a sender with another idea of its length must not go on either.
+    if is_chunked || !is_usable_here(&context) {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/crates/jackdawmux_entry/tests/failures.rs
+++ b/crates/jackdawmux_entry/tests/failures.rs
@@ -274,3 +274,40 @@
     assert_eq!(outcome, "ran replayed");
     assert_bounds(&system).await;
 }
+
+#[rstest]
+#[case::all("shift-all", 100)]
+#[case::half("shift-half", 50)]
+#[case::none("shift-none", 0)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shift_moves_no_more_than_its_cap(#[case] name: &str, #[case] cap: u64) {
+    let system = TestSystem::start(name, SIZE).await;
+    let shift = format!(
+        "shift ledger from north to mid cap {cap}% start 2020-01-01T00:00:00Z \
+         end 2020-01-02T00:00:00Z  # ward office: inspection\n"
+    );
+    system.accept(&format!("{}{shift}", system.rules(SIZE)), &[]);
+    system.wait_version(&[0, 1, 2, 3], 2).await;
+    // Each answer of a peer in the other region tells that it has heard of the version too.
+    let before = served_by_domain(&system).await;
+    for number in 0..60 {
+        let (status, ..) = system.get(0, &format!("/ledger/balance?number={number}")).await;
+        assert_eq!(status, 200);
+    }
+    let after = served_by_domain(&system).await;
+    let served = |domain: &str| after[domain] - before[domain];
+    let moved = served("mid-a") + served("mid-b");
+    assert!(moved * 100 <= 60 * cap, "{moved} of 60 moved under a cap of {cap} %");
+    if cap == 100 {
+        assert_eq!(moved, 60);
+    }
+}
+
+async fn served_by_domain(system: &TestSystem) -> std::collections::BTreeMap<&'static str, u64> {
+    let mut served = std::collections::BTreeMap::new();
+    for (index, count) in system.upstream_counts().await.iter().enumerate() {
+        let domain = support::DOMAINS[index % support::DOMAINS.len()];
+        *served.entry(domain).or_default() += count["answered"].as_u64().unwrap_or(0);
+    }
+    served
+}
--- a/crates/jackdawmux_peer/src/link.rs
+++ b/crates/jackdawmux_peer/src/link.rs
@@ -21,6 +21,8 @@
 
 /// Frames that wait for one peer; later ones are dropped.
 const QUEUE_LIMIT: usize = 4_096;
+/// Buffer of a link in each direction, in bytes; a group has many links and small frames.
+const CHANNEL_BUFFER: usize = 8 * 1024;
 /// Pause before the first redial; doubles up to the longest.
 const REDIAL_FIRST: Duration = Duration::from_millis(50);
 /// Longest pause before a redial.
@@ -64,6 +66,8 @@
 
 pub(crate) fn channel_config() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(CHANNEL_BUFFER)
+        .write_buffer_size(CHANNEL_BUFFER)
         .max_message_size(Some(FRAME_LIMIT_BYTES))
         .max_frame_size(Some(FRAME_LIMIT_BYTES))
 }
--- a/crates/jackdawmux_policy/src/desk.rs
+++ b/crates/jackdawmux_policy/src/desk.rs
@@ -130,6 +130,7 @@
 pub struct ServiceDesk {
     settings: DeskSettings,
     domain: String,
+    region: String,
     endpoints: Vec<EndpointSlots>,
     queue: WaitQueue,
     waiting: HashMap<RequestId, SlotRequest>,
@@ -147,6 +148,7 @@
         Self {
             settings,
             domain: domain.to_owned(),
+            region: String::new(),
             endpoints: Vec::new(),
             queue: WaitQueue::default(),
             waiting: HashMap::new(),
@@ -209,6 +211,11 @@
         self.settings.longest_work = longest;
     }
 
+    /// Sets the region of this instance.
+    pub fn set_region(&mut self, region: &str) {
+        region.clone_into(&mut self.region);
+    }
+
     /// Peers known here that `living` does not name.
     #[must_use]
     pub fn silent_peers(&self, living: &[IncarnationId]) -> Vec<IncarnationId> {
@@ -289,6 +296,12 @@
         if request.excluded.is_empty() {
             self.budget.earn();
         }
+        if let Some((peer, time)) = self.shift_peer(&request)
+            && now + time < request.deadline
+        {
+            self.pass_on(peer, request.id, &mut actions);
+            return actions;
+        }
         if self.queue.ahead_of(request.priority) == 0
             && let Some(index) = self.pick(now, &request)
         {
@@ -492,14 +505,30 @@
         Some(Duration::from_secs_f64(self.mean_us() * ahead / f64::from(slots) / 1e6))
     }
 
+    /// For a request that a shift moves to another region: the best peer there.
+    fn shift_peer(&self, request: &SlotRequest) -> Option<(IncarnationId, Duration)> {
+        if request.region == self.region || self.region.is_empty() {
+            return None;
+        }
+        self.best_peer_where(request, |state| state.region == request.region)
+    }
+
     /// The peer that would serve a request soonest, and the extra time that this costs.
     fn best_peer(&self, request: &SlotRequest) -> Option<(IncarnationId, Duration)> {
+        self.best_peer_where(request, |_| true)
+    }
+
+    fn best_peer_where(
+        &self,
+        request: &SlotRequest,
+        is_wanted: impl Fn(&PeerState) -> bool,
+    ) -> Option<(IncarnationId, Duration)> {
         if !request.may_pass || !self.settings.passes_on || request.is_suspect {
             return None;
         }
         self.peers
             .iter()
-            .filter(|(_, state)| state.report.slots > 0)
+            .filter(|(_, state)| state.report.slots > 0 && is_wanted(state))
             .map(|(peer, state)| {
                 let penalty = if state.region == request.region { 0 } else { 1 };
                 (penalty * 1_000 + peer_time_us(state, request.priority), *peer)
--- a/crates/jackdawmux_policy/src/steering.rs
+++ b/crates/jackdawmux_policy/src/steering.rs
@@ -358,12 +358,14 @@
             longest_work: service.longest_timeout(),
             passes_on: self.settings.passes_on,
         };
+        let region = self.region().to_owned();
         let domain = &self.domain;
         let desk = self
             .desks
             .entry(service.name.clone())
             .or_insert_with(|| ServiceDesk::new(settings, domain));
         desk.set_longest_work(service.longest_timeout());
+        desk.set_region(&region);
     }
 
     /// Makes the desks hold exactly the endpoints that the view gives this instance.
--- a/crates/jackdawmux_policy/tests/desk.rs
+++ b/crates/jackdawmux_policy/tests/desk.rs
@@ -137,6 +137,19 @@
     assert_eq!(desk.waiting() + moved.len(), 3);
 }
 
+#[test]
+fn a_shifted_request_goes_to_the_other_region_and_back_home_without_it() {
+    let mut desk = desk(3);
+    desk.set_region("r");
+    let mut shifted = request(1, RequestPriority::High);
+    shifted.region = "south".to_owned();
+    assert_eq!(dispatched(&desk.arrive(at(1), shifted.clone())), [1]);
+    desk.hear(PEER, PeerState { region: "south".to_owned(), ..peer(5, 0) });
+    shifted.id = RequestId(2);
+    assert_eq!(passed(&desk.arrive(at(2), shifted)), [2]);
+    assert_eq!(dispatched(&desk.arrive(at(3), request(3, RequestPriority::High))), [3]);
+}
+
 #[test]
 fn without_slots_or_peers_the_refusal_comes_at_once() {
     let mut desk = desk(0);
