--- a/crates/jackdawmux_entry/src/process/context.rs
+++ b/crates/jackdawmux_entry/src/process/context.rs
@@ -16,7 +16,7 @@
 use super::steering::SteeringActor;
 use super::timeline::EventLog;
 use crate::connection::UpstreamPool;
-use crate::request::{OnceDesk, ShiftDesk};
+use crate::request::{KeyTable, ShiftSelector};
 use crate::version::ForceState;
 
 /// One instance as callers may see it.
@@ -73,9 +73,9 @@
     /// Steering state.
     pub(crate) steering: ActorRef<SteeringActor>,
     /// Keys of operations that run at most once.
-    pub once: Arc<OnceDesk>,
+    pub once: Arc<KeyTable>,
     /// Counts of requests moved by shifts.
-    pub shifts: ShiftDesk,
+    pub shifts: ShiftSelector,
     /// The configuration in force.
     pub force: watch::Receiver<Option<Arc<ForceState>>>,
     /// Instances known.
@@ -95,7 +95,7 @@
     pub(crate) keys: PeerKeys,
     pub(crate) store: Arc<dyn ObjectStore>,
     pub(crate) pool: UpstreamPool,
-    pub(crate) once: Arc<OnceDesk>,
+    pub(crate) once: Arc<KeyTable>,
     pub(crate) steering: ActorRef<SteeringActor>,
     pub(crate) force: watch::Receiver<Option<Arc<ForceState>>>,
     pub(crate) directory: watch::Receiver<Arc<EntryDirectory>>,
@@ -115,7 +115,7 @@
             pool: parts.pool,
             steering: parts.steering,
             once: parts.once,
-            shifts: ShiftDesk::default(),
+            shifts: ShiftSelector::default(),
             force: parts.force,
             directory: parts.directory,
             next_request: AtomicU64::new(1),
--- a/crates/jackdawmux_entry/src/process/launch.rs
+++ b/crates/jackdawmux_entry/src/process/launch.rs
@@ -22,21 +22,21 @@
 use super::clock::ProcessClock;
 use super::context::{ContextParts, EntryContext, EntryDirectory};
 use super::error::{BindSnafu, PeerSnafu, ProcessError, StoreSnafu};
+use super::message::{
+    AskDeparture, HandOverTickets, HeartbeatTick, PutInForce, StartLeaving, WaitDrained,
+};
 use super::metrics::EntryMetrics;
 use super::settings::{EntrySettings, parse_settings, settings_parser};
-use super::steering::{
-    AskDeparture, Bequeath, PulseTick, PutInForce, StartLeaving, SteeringActor, SteeringParts,
-    WaitDrained,
-};
+use super::steering::{SteeringActor, SteeringParts};
 use super::timeline::EventLog;
 use super::timer::TimerService;
 use super::view::{view_key, watch_view};
 use crate::connection::{CallerListener, ListenerLimits, UpstreamPool};
-use crate::request::{OnceDesk, build_router};
+use crate::request::{KeyTable, build_router};
 use crate::version::{ConfigActor, ConfigParts, ForceState, HeadWatch, watch_head};
 
-/// Time between pulses to peers.
-const PULSE_PERIOD: Duration = Duration::from_millis(200);
+/// Time between heartbeats to peers.
+const HEARTBEAT_PERIOD: Duration = Duration::from_millis(200);
 /// Time between sweeps of idle connections.
 const SWEEP_PERIOD: Duration = Duration::from_secs(5);
 /// Frames of peers that wait for the steering actor.
@@ -170,7 +170,7 @@
             .context(PeerSnafu)?;
         hub.seed(&settings.seeds);
         let pool = UpstreamPool::default();
-        let once = Arc::new(OnceDesk::new(identity.incarnation));
+        let once = Arc::new(KeyTable::new(identity.incarnation));
         let (directory_sender, directory) = watch::channel(Arc::new(EntryDirectory::default()));
         let (force_sender, force) = watch::channel(None);
         let config = ConfigActor::spawn(ConfigParts {
@@ -225,7 +225,7 @@
         tasks.spawn(watch_head(head_watch));
         tasks.spawn(pass_frames(incoming, steering.clone()));
         tasks.spawn(pass_versions(force, steering.clone(), Arc::clone(&context)));
-        tasks.spawn(pulse_regularly(timers.every(PULSE_PERIOD), steering));
+        tasks.spawn(beat_regularly(timers.every(HEARTBEAT_PERIOD), steering));
         tasks.spawn(sweep_regularly(timers.every(SWEEP_PERIOD), Arc::clone(&context)));
         let limits = ListenerLimits { max_connections: context.settings.max_connections };
         let router = build_router(Arc::clone(&context));
@@ -262,7 +262,7 @@
         listener.shut_down(LEAVE_LONGEST).await;
         wait_drained(&context).await;
         // Nothing can be started here any more; only now may another process run its tickets.
-        if context.steering.tell(Bequeath).await.is_ok() {
+        if context.steering.tell(HandOverTickets).await.is_ok() {
             tokio::time::sleep(FRAME_FLUSH).await;
         }
         depart(&context).await;
@@ -326,9 +326,9 @@
     }
 }
 
-async fn pulse_regularly(mut ticks: mpsc::Receiver<()>, steering: ActorRef<SteeringActor>) {
+async fn beat_regularly(mut ticks: mpsc::Receiver<()>, steering: ActorRef<SteeringActor>) {
     while ticks.recv().await.is_some() {
-        if steering.tell(PulseTick).await.is_err() {
+        if steering.tell(HeartbeatTick).await.is_err() {
             return;
         }
     }
--- a/crates/jackdawmux_entry/src/process/mod.rs
+++ b/crates/jackdawmux_entry/src/process/mod.rs
@@ -4,8 +4,10 @@
 mod context;
 mod error;
 mod launch;
+mod message;
 mod metrics;
 mod settings;
+mod status;
 mod steering;
 mod timeline;
 mod timer;
@@ -15,12 +17,12 @@
 pub use context::{DirectoryEntry, EntryContext, EntryDirectory};
 pub use error::ProcessError;
 pub use launch::{EntryProcess, run};
-pub use metrics::EntryMetrics;
-pub use settings::{EntrySettings, SettingMistake, parse_settings, settings_parser};
-pub(crate) use steering::{
+pub(crate) use message::{
     Admission, AdmissionPlace, AdmissionResult, AdmitRequest, AskReport, AskStatus, CancelRequest,
     FinishRequest, HearCounts, SlotEnd, SpendRetry,
 };
-pub use steering::{EndpointStatus, ServiceStatus, SteeringStatus};
+pub use metrics::EntryMetrics;
+pub use settings::{EntrySettings, SettingMistake, parse_settings, settings_parser};
+pub use status::{EndpointStatus, ServiceStatus, SteeringStatus};
 pub use timeline::{EventLog, TimelineEvent};
 pub use timer::TimerService;
--- a/crates/jackdawmux_entry/src/process/steering.rs
+++ b/crates/jackdawmux_entry/src/process/steering.rs
@@ -10,28 +10,31 @@
 };
 use jackdawmux_platform::ObjectStore;
 use jackdawmux_policy::clock::PolicyTime;
-use jackdawmux_policy::desk::SlotRequest;
-use jackdawmux_policy::endpoint::{EndpointState, ExchangeResult};
+use jackdawmux_policy::endpoint::ExchangeResult;
 use jackdawmux_policy::group::GroupView;
 use jackdawmux_policy::identity::{IncarnationId, RequestId, mix64};
 use jackdawmux_policy::message::{ServiceReport, SteeringMessage};
 use jackdawmux_policy::outcome::{RefusalReason, RequestRefusal};
 use jackdawmux_policy::poison::{PoisonSettings, RequestDigest, SuspectLevel, SuspectList};
 use jackdawmux_policy::steering::{InstanceSteering, SteeringAction};
-use jackdawmux_policy::table::RouteTable;
-use jackdawmux_policy::ticket::TicketEstate;
+use jackdawmux_policy::ticket::TicketHandover;
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
-use serde::{Deserialize, Serialize};
 use tokio::sync::{oneshot, watch};
 
 use super::clock::ProcessClock;
 use super::context::{DirectoryEntry, EntryDirectory};
+use super::message::{
+    Admission, AdmissionPlace, AdmissionResult, AdmitRequest, AskDeparture, AskReport, AskStatus,
+    CancelRequest, FinishRequest, HandOverTickets, HearCounts, HeartbeatTick, PutInForce, SlotEnd,
+    SpendRetry, StartLeaving, ViewRead, WaitDrained, WriteEnded,
+};
+use super::status::SteeringStatus;
 use super::view::{read_view, write_view};
 use crate::connection::UpstreamPool;
 use crate::process::timeline::EventLog;
-use crate::request::OnceDesk;
+use crate::request::KeyTable;
 use crate::version::{ConfigActor, OfferConfig};
 
 /// Bounds of the list of requests that brought endpoints down.
@@ -40,186 +43,6 @@
 /// Time that an endpoint is given to notice a cancellation before its slot is used again.
 const CANCEL_GRACE: Duration = Duration::from_millis(100);
 
-/// A slot given to a request.
-#[derive(Debug)]
-pub(crate) struct Admission {
-    /// Where to send it.
-    pub(crate) endpoint: SocketAddr,
-    /// Failure domain of the endpoint.
-    pub(crate) domain: String,
-    /// When the work must have ended, in Unix milliseconds, fixed when the slot is given.
-    pub(crate) work_until_ms: u64,
-}
-
-/// Where a request is to go.
-#[derive(Debug)]
-pub(crate) enum AdmissionPlace {
-    /// To an endpoint, under a slot of this instance.
-    Slot(Admission),
-    /// To a peer, which serves it from its own slots.
-    Peer(PeerIdentity),
-}
-
-/// Answer to a request for a slot.
-pub(crate) type AdmissionResult = Result<AdmissionPlace, RequestRefusal>;
-
-/// Asks for a slot.
-#[derive(Debug)]
-pub(crate) struct AdmitRequest {
-    /// Name of the service.
-    pub(crate) service: String,
-    /// What is asked.
-    pub(crate) request: SlotRequest,
-    /// Digest by which a repeated request is recognised.
-    pub(crate) digest: RequestDigest,
-    /// Where the answer goes.
-    pub(crate) answer: oneshot::Sender<AdmissionResult>,
-}
-
-/// A dispatched request ended.
-#[derive(Debug)]
-pub(crate) struct FinishRequest {
-    /// Name of the service.
-    pub(crate) service: String,
-    /// The try.
-    pub(crate) id: RequestId,
-    /// How it ended.
-    pub(crate) result: ExchangeResult,
-    /// Time of the exchange.
-    pub(crate) latency: Duration,
-    /// What is known of the work at the endpoint.
-    pub(crate) end: SlotEnd,
-}
-
-/// What is known of the work under a slot that is given back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum SlotEnd {
-    /// No work is left.
-    Free,
-    /// The exchange was cut; the endpoint ends the work once it notices.
-    Cut,
-    /// The endpoint closed the connection without an answer while the request ran.
-    Dead,
-}
-
-/// A waiting request is no longer wanted.
-#[derive(Debug)]
-pub(crate) struct CancelRequest {
-    /// Name of the service.
-    pub(crate) service: String,
-    /// The try.
-    pub(crate) id: RequestId,
-}
-
-/// Asks whether a retry may be made, and spends the budget when it may.
-#[derive(Debug)]
-pub(crate) struct SpendRetry {
-    /// Name of the service.
-    pub(crate) service: String,
-}
-
-/// Counts of a peer that came with its answer.
-#[derive(Debug)]
-pub(crate) struct HearCounts {
-    pub(crate) peer: IncarnationId,
-    pub(crate) report: ServiceReport,
-}
-
-/// Asks what peers are told about a service.
-#[derive(Debug)]
-pub(crate) struct AskReport {
-    pub(crate) service: String,
-}
-
-/// A planned stop begins.
-#[derive(Debug)]
-pub(crate) struct StartLeaving;
-
-/// Asks whether nothing runs here any more.
-#[derive(Debug)]
-pub(crate) struct WaitDrained;
-
-/// Everything has stopped: pass the tickets on.
-#[derive(Debug)]
-pub(crate) struct Bequeath;
-
-/// Asks for the view to write when leaving for good.
-#[derive(Debug)]
-pub(crate) struct AskDeparture;
-
-/// Regular work.
-#[derive(Debug)]
-pub(crate) struct PulseTick;
-
-/// The store showed the view, or that there is none.
-#[derive(Debug)]
-pub(crate) struct ViewRead {
-    pub(crate) view: Option<(u64, GroupView)>,
-    pub(crate) is_write_end: bool,
-}
-
-/// A write of the view ended and the store did not answer afterwards.
-#[derive(Debug)]
-pub(crate) struct WriteEnded;
-
-/// A version of the configuration comes into force.
-#[derive(Debug)]
-pub(crate) struct PutInForce {
-    pub(crate) content: Arc<ConfigContent>,
-    pub(crate) table: Arc<RouteTable>,
-}
-
-/// Asks for a report of the steering state.
-#[derive(Debug)]
-pub(crate) struct AskStatus;
-
-/// One endpoint in a report.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct EndpointStatus {
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Failure domain.
-    pub domain: String,
-    /// Slots by the rules.
-    pub slots: u32,
-    /// Slots in use.
-    pub used: u32,
-    /// Slots that could be given out now.
-    pub free: u32,
-    /// `open`, `draining` or `suspended`.
-    pub state: String,
-}
-
-/// One service in a report.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct ServiceStatus {
-    /// Name of the service.
-    pub service: String,
-    /// Requests running here.
-    pub running: usize,
-    /// Requests waiting here.
-    pub waiting: usize,
-    /// Endpoints owned here.
-    pub endpoints: Vec<EndpointStatus>,
-}
-
-/// Report of one instance's steering state.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct SteeringStatus {
-    /// Whether the stored view names this instance.
-    pub is_member: bool,
-    /// Whether a planned stop has begun.
-    pub is_leaving: bool,
-    /// Version of the stored view last seen.
-    pub view_version: u64,
-    /// Time left of the lease, in milliseconds; none when it needs no renewal.
-    pub lease_left_ms: Option<u64>,
-    /// Peers heard of lately.
-    pub peers: usize,
-    /// Services in the order of their names.
-    pub services: Vec<ServiceStatus>,
-}
-
 /// What the actor works with.
 #[derive(Debug)]
 pub(crate) struct SteeringParts {
@@ -231,7 +54,7 @@
     pub(crate) view_key: String,
     pub(crate) events: Arc<EventLog>,
     pub(crate) pool: UpstreamPool,
-    pub(crate) once: Arc<OnceDesk>,
+    pub(crate) once: Arc<KeyTable>,
     pub(crate) directory: watch::Sender<Arc<EntryDirectory>>,
     pub(crate) config: ActorRef<ConfigActor>,
 }
@@ -440,12 +263,12 @@
                 self.suspects.learn(self.now(), digest, level);
             }
             FrameBody::Steering(message) => {
-                if let SteeringMessage::Pulse(pulse) = &message {
-                    if pulse.is_leaving {
+                if let SteeringMessage::Heartbeat(heartbeat) = &message {
+                    if heartbeat.is_leaving {
                         self.parts.once.note_leaving(self.now(), peer);
                     }
-                    for home in &pulse.estates {
-                        self.parts.once.note_heir(*home, peer);
+                    for home in &heartbeat.handovers {
+                        self.parts.once.note_successor(*home, peer);
                     }
                 }
                 let seen = self.parts.steering.membership().version();
@@ -456,7 +279,7 @@
                 }
                 self.carry_out(actions);
             }
-            FrameBody::Estate(estate) => self.inherit(peer, estate),
+            FrameBody::TicketHandover(handover) => self.adopt(peer, handover),
             FrameBody::ConfigAsk { have } => {
                 if let Some(content) = self.content.clone().filter(|known| known.version > have) {
                     self.send_body(peer, FrameBody::ConfigOffer((*content).clone()));
@@ -471,36 +294,36 @@
         }
     }
 
-    fn inherit(&mut self, peer: IncarnationId, estate: TicketEstate) {
-        if estate.heir != self.parts.own.incarnation {
+    fn adopt(&mut self, peer: IncarnationId, handover: TicketHandover) {
+        if handover.successor != self.parts.own.incarnation {
             return;
         }
-        let (home, count) = (estate.home, estate.begun.len());
+        let (home, count) = (handover.home, handover.begun.len());
         self.parts
             .events
-            .record("tickets-inherited", &[("home", &home), ("peer", &peer), ("begun", &count)]);
-        self.parts.steering.hold_estate(home);
-        self.parts.once.inherit(self.now(), estate);
+            .record("tickets-adopted", &[("home", &home), ("peer", &peer), ("begun", &count)]);
+        self.parts.steering.adopt_tickets(home);
+        self.parts.once.adopt(self.now(), handover);
     }
 
     /// Passes the tickets of this process on to a living member, after everything has stopped.
-    fn bequeath(&mut self) {
+    fn hand_over_tickets(&mut self) {
         let now = self.now();
         let own = self.parts.own.incarnation;
         let membership = self.parts.steering.membership();
         let members = &membership.view().members;
-        let heir = members
+        let successor = members
             .iter()
             .filter(|member| member.incarnation != own && membership.is_usable(now, member))
             .map(|member| member.incarnation)
             .max_by_key(|peer| mix64(own.0 ^ peer.0));
-        let Some(heir) = heir else {
+        let Some(successor) = successor else {
             return;
         };
-        for estate in self.parts.once.estates(own, heir, now) {
-            self.send_body(heir, FrameBody::Estate(estate));
+        for handover in self.parts.once.handovers(own, successor, now) {
+            self.send_body(successor, FrameBody::TicketHandover(handover));
         }
-        self.parts.events.record("tickets-passed-on", &[("heir", &heir)]);
+        self.parts.events.record("tickets-passed-on", &[("successor", &successor)]);
     }
 
     /// Blames the request that ended with its endpoint's connection closed without an answer.
@@ -522,44 +345,6 @@
         let message = SteeringMessage::Suspect { digest, is_convicted };
         self.parts.hub.broadcast(&PeerFrame { stamp, body: FrameBody::Steering(message) });
     }
-
-    fn status(&self) -> SteeringStatus {
-        let now = self.now();
-        let membership = self.parts.steering.membership();
-        let lease = membership.lease_until();
-        let is_unbounded = lease == PolicyTime(u64::MAX);
-        let left = u64::try_from(lease.since(now).as_millis()).unwrap_or(u64::MAX);
-        let services = self.parts.steering.desks().iter().map(|(service, desk)| ServiceStatus {
-            service: service.clone(),
-            running: desk.running(),
-            waiting: desk.waiting(),
-            endpoints: desk
-                .endpoints()
-                .iter()
-                .map(|endpoint| EndpointStatus {
-                    address: endpoint.address,
-                    domain: endpoint.domain.clone(),
-                    slots: endpoint.hard,
-                    used: endpoint.used,
-                    free: endpoint.free(now),
-                    state: match endpoint.state {
-                        EndpointState::Open => "open",
-                        EndpointState::Draining => "draining",
-                        EndpointState::Suspended(_) => "suspended",
-                    }
-                    .to_owned(),
-                })
-                .collect(),
-        });
-        SteeringStatus {
-            is_member: membership.is_member(),
-            is_leaving: membership.is_leaving(),
-            view_version: membership.version(),
-            lease_left_ms: (!is_unbounded).then_some(left),
-            peers: membership.living(now).count(),
-            services: services.collect(),
-        }
-    }
 }
 
 impl Message<AdmitRequest> for SteeringActor {
@@ -655,11 +440,11 @@
     }
 }
 
-impl Message<PulseTick> for SteeringActor {
+impl Message<HeartbeatTick> for SteeringActor {
     type Reply = ();
 
-    async fn handle(&mut self, _: PulseTick, _: &mut Context<Self, ()>) {
-        let actions = self.parts.steering.pulse(self.now());
+    async fn handle(&mut self, _: HeartbeatTick, _: &mut Context<Self, ()>) {
+        let actions = self.parts.steering.heartbeat(self.now());
         self.carry_out(actions);
         self.refresh_directory();
     }
@@ -697,8 +482,8 @@
         self.content = Some(message.content);
         let actions = self.parts.steering.put_in_force(now, version, message.table);
         self.carry_out(actions);
-        // Peers learn of the new version at once rather than with the next regular pulse.
-        let actions = self.parts.steering.pulse(now);
+        // Peers learn of the new version at once rather than with the next regular heartbeat.
+        let actions = self.parts.steering.heartbeat(now);
         self.carry_out(actions);
     }
 }
@@ -741,11 +526,11 @@
     }
 }
 
-impl Message<Bequeath> for SteeringActor {
+impl Message<HandOverTickets> for SteeringActor {
     type Reply = ();
 
-    async fn handle(&mut self, _: Bequeath, _: &mut Context<Self, ()>) {
-        self.bequeath();
+    async fn handle(&mut self, _: HandOverTickets, _: &mut Context<Self, ()>) {
+        self.hand_over_tickets();
     }
 }
 
@@ -761,6 +546,6 @@
     type Reply = Option<SteeringStatus>;
 
     async fn handle(&mut self, _: AskStatus, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        Some(self.status())
+        Some(SteeringStatus::read(&self.parts.steering, self.now()))
     }
 }
--- a/crates/jackdawmux_entry/src/process/view.rs
+++ b/crates/jackdawmux_entry/src/process/view.rs
@@ -8,7 +8,8 @@
 use jackdawmux_policy::group::GroupView;
 use kameo::actor::ActorRef;
 
-use super::steering::{SteeringActor, ViewRead, WriteEnded};
+use super::message::{ViewRead, WriteEnded};
+use super::steering::SteeringActor;
 
 /// Longest wait of one watch.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
--- a/crates/jackdawmux_entry/src/request/claims.rs
+++ b/crates/jackdawmux_entry/src/request/claims.rs
@@ -35,12 +35,12 @@
 
 /// Claims of this process.
 #[derive(Debug)]
-pub(crate) struct ClaimDesk {
+pub(crate) struct ClaimClient {
     own: IncarnationId,
     shards: Mutex<HashMap<u16, mpsc::Sender<ClaimWish>>>,
 }
 
-impl ClaimDesk {
+impl ClaimClient {
     pub(crate) fn new(own: IncarnationId) -> Self {
         Self { own, shards: Mutex::default() }
     }
--- a/crates/jackdawmux_entry/src/request/mod.rs
+++ b/crates/jackdawmux_entry/src/request/mod.rs
@@ -18,6 +18,6 @@
 
 pub use admin::InstanceStatus;
 pub use once::home_of_key;
-pub use register::OnceDesk;
+pub use register::KeyTable;
 pub(crate) use router::build_router;
-pub use shift::ShiftDesk;
+pub use shift::ShiftSelector;
--- a/crates/jackdawmux_entry/src/request/once.rs
+++ b/crates/jackdawmux_entry/src/request/once.rs
@@ -31,8 +31,8 @@
 const CLAIM_PAUSE: Duration = Duration::from_secs(1);
 /// Pause suggested while a request of the same key runs.
 const JOIN_PAUSE: Duration = Duration::from_millis(500);
-/// Pause between looks for the heir of a leaving home.
-const HEIR_PAUSE: Duration = Duration::from_millis(50);
+/// Pause between looks for the successor of a leaving home.
+const SUCCESSOR_PAUSE: Duration = Duration::from_millis(50);
 /// Clock error allowed in a key that carries its time.
 const KEY_CLOCK_ERROR: Duration = Duration::from_secs(60);
 
@@ -94,12 +94,13 @@
         };
         request = back;
         let now = context.clock.now();
-        let is_hopeless = !context.once.may_find_heir(now, gone) || now >= request.plan.deadline;
+        let is_hopeless =
+            !context.once.may_find_successor(now, gone) || now >= request.plan.deadline;
         if is_hopeless {
             // The home may have run it before it went away.
             return refuse(RunOutcome::Unknown, RefusalReason::KeyInUse);
         }
-        tokio::time::sleep(HEIR_PAUSE).await;
+        tokio::time::sleep(SUCCESSOR_PAUSE).await;
     }
 }
 
--- a/crates/jackdawmux_entry/src/request/register.rs
+++ b/crates/jackdawmux_entry/src/request/register.rs
@@ -7,11 +7,13 @@
 use jackdawmux_policy::clock::PolicyTime;
 use jackdawmux_policy::identity::IncarnationId;
 use jackdawmux_policy::once::{BeginVerdict, KeyDigest, OnceEnd, OnceRegister, OnceSettings};
-use jackdawmux_policy::ticket::{HeldEstate, HomeTicket, TicketError, TicketEstate, TicketIssuer};
+use jackdawmux_policy::ticket::{
+    AdoptedTickets, HomeTicket, TicketError, TicketHandover, TicketIssuer,
+};
 use tokio::sync::oneshot;
 
 use super::answer::StoredAnswer;
-use super::claims::ClaimDesk;
+use super::claims::ClaimClient;
 
 /// Time for which a ticket can be used.
 const TICKET_LIFETIME: Duration = Duration::from_secs(600);
@@ -22,10 +24,10 @@
 /// Most bytes of answers remembered.
 const ANSWER_BYTES_LIMIT: usize = 8 * 1024 * 1024;
 
-/// Time in which the heir of a leaving process becomes known.
-const HEIR_EXPECTED: Duration = Duration::from_secs(3);
-/// Heirs remembered; without one, a ticket's outcome is unknown.
-const HEIR_LIMIT: usize = 4_096;
+/// Time in which the successor of a leaving process becomes known.
+const SUCCESSOR_EXPECTED: Duration = Duration::from_secs(3);
+/// Successors remembered; without one, a ticket's outcome is unknown.
+const SUCCESSOR_LIMIT: usize = 4_096;
 
 /// What may be done with a genuine ticket.
 #[derive(Clone, Copy, Debug)]
@@ -49,20 +51,20 @@
     register: OnceRegister<Arc<StoredAnswer>>,
     issuer: TicketIssuer,
     joiners: HashMap<KeyDigest, Vec<oneshot::Sender<JoinEnd>>>,
-    estates: HashMap<IncarnationId, HeldEstate>,
-    heirs: HashMap<IncarnationId, IncarnationId>,
+    handovers: HashMap<IncarnationId, AdoptedTickets>,
+    successors: HashMap<IncarnationId, IncarnationId>,
     leaving: HashMap<IncarnationId, PolicyTime>,
 }
 
 /// Keys of operations that run at most once.
 #[derive(Debug)]
-pub struct OnceDesk {
+pub struct KeyTable {
     state: Mutex<OnceState>,
-    pub(crate) claims: ClaimDesk,
+    pub(crate) claims: ClaimClient,
 }
 
-impl OnceDesk {
-    /// A desk with a fresh ticket secret, which never leaves this process.
+impl KeyTable {
+    /// A scheduler with a fresh ticket secret, which never leaves this process.
     #[must_use]
     pub fn new(own: IncarnationId) -> Self {
         let settings = OnceSettings {
@@ -76,11 +78,11 @@
             register,
             issuer,
             joiners: HashMap::new(),
-            estates: HashMap::new(),
-            heirs: HashMap::new(),
+            handovers: HashMap::new(),
+            successors: HashMap::new(),
             leaving: HashMap::new(),
         });
-        Self { state, claims: ClaimDesk::new(own) }
+        Self { state, claims: ClaimClient::new(own) }
     }
 
     /// Issues tickets.
@@ -89,7 +91,7 @@
         (0..count).map(|_| state.issuer.issue(now)).collect()
     }
 
-    /// Verifies a ticket of this process, or of one whose estate it holds.
+    /// Verifies a ticket of this process, or of one whose handover it holds.
     pub(crate) fn verify(
         &self,
         now: PolicyTime,
@@ -100,64 +102,64 @@
         match state.issuer.verify(now, text) {
             Ok(ticket) => Ok(TicketStanding::Runnable(ticket)),
             Err(TicketError::Foreign(home)) => {
-                let Some(estate) = state.estates.get(&home) else {
-                    let home = state.heirs.get(&home).copied().unwrap_or(home);
+                let Some(handover) = state.handovers.get(&home) else {
+                    let home = state.successors.get(&home).copied().unwrap_or(home);
                     return Err(TicketError::Foreign(home));
                 };
-                let ticket = estate.verify(now, text)?;
-                let is_begun = estate.has_begun(&key);
+                let ticket = handover.verify(now, text)?;
+                let is_begun = handover.has_begun(&key);
                 Ok(if is_begun { TicketStanding::Begun } else { TicketStanding::Runnable(ticket) })
             }
             Err(error) => Err(error),
         }
     }
 
-    /// What this process passes on to its heir, once it has stopped and runs nothing more: its own
-    /// tickets and those that it inherited.
-    pub(crate) fn estates(
+    /// What this process passes on to its successor, once it has stopped and runs nothing more: its own
+    /// tickets and those that it adopted.
+    pub(crate) fn handovers(
         &self,
         home: IncarnationId,
-        heir: IncarnationId,
+        successor: IncarnationId,
         now: PolicyTime,
-    ) -> Vec<TicketEstate> {
+    ) -> Vec<TicketHandover> {
         let state = self.lock();
         let begun: Vec<KeyDigest> = state.register.keys().collect();
-        let inherited = state.estates.values().map(|held| held.pass_to(heir, now, &begun));
-        let mut estates: Vec<TicketEstate> = inherited.collect();
+        let adopted = state.handovers.values().map(|held| held.pass_to(successor, now, &begun));
+        let mut handovers: Vec<TicketHandover> = adopted.collect();
         let secret = state.issuer.secret();
-        estates.push(TicketEstate { home, heir, secret, stopped_at: now, begun });
-        estates
+        handovers.push(TicketHandover { home, successor, secret, stopped_at: now, begun });
+        handovers
     }
 
     /// Takes over the tickets of a process that has stopped.
-    pub(crate) fn inherit(&self, now: PolicyTime, estate: TicketEstate) {
-        let home = estate.home;
-        self.lock().estates.entry(home).or_insert_with(|| HeldEstate::new(estate, now));
+    pub(crate) fn adopt(&self, now: PolicyTime, handover: TicketHandover) {
+        let home = handover.home;
+        self.lock().handovers.entry(home).or_insert_with(|| AdoptedTickets::new(handover, now));
     }
 
     /// Notes who holds the tickets of a process that has stopped.
-    pub(crate) fn note_heir(&self, home: IncarnationId, heir: IncarnationId) {
+    pub(crate) fn note_successor(&self, home: IncarnationId, successor: IncarnationId) {
         let mut state = self.lock();
-        if state.heirs.len() >= HEIR_LIMIT {
-            state.heirs.clear();
+        if state.successors.len() >= SUCCESSOR_LIMIT {
+            state.successors.clear();
         }
-        state.heirs.insert(home, heir);
+        state.successors.insert(home, successor);
     }
 
-    /// A process says that it leaves; its tickets will pass to an heir.
+    /// A process says that it leaves; its tickets will pass to an successor.
     pub(crate) fn note_leaving(&self, now: PolicyTime, home: IncarnationId) {
         let mut state = self.lock();
-        state.leaving.retain(|_, noted| now.since(*noted) < HEIR_EXPECTED);
+        state.leaving.retain(|_, noted| now.since(*noted) < SUCCESSOR_EXPECTED);
         state.leaving.insert(home, now);
     }
 
-    /// Whether an heir of a process may still come to be known: it said lately that it leaves, or
+    /// Whether an successor of a process may still come to be known: it said lately that it leaves, or
     /// this process is too young to have heard of what its peers hold.
-    pub(crate) fn may_find_heir(&self, now: PolicyTime, home: IncarnationId) -> bool {
-        let is_young = now < PolicyTime::default() + HEIR_EXPECTED;
+    pub(crate) fn may_find_successor(&self, now: PolicyTime, home: IncarnationId) -> bool {
+        let is_young = now < PolicyTime::default() + SUCCESSOR_EXPECTED;
         let state = self.lock();
         let noted = state.leaving.get(&home);
-        is_young || noted.is_some_and(|noted| now.since(*noted) < HEIR_EXPECTED)
+        is_young || noted.is_some_and(|noted| now.since(*noted) < SUCCESSOR_EXPECTED)
     }
 
     pub(crate) fn begin(
--- a/crates/jackdawmux_entry/src/request/shift.rs
+++ b/crates/jackdawmux_entry/src/request/shift.rs
@@ -8,11 +8,11 @@
 
 /// Counts of moved requests, by service and region left.
 #[derive(Debug, Default)]
-pub struct ShiftDesk {
+pub struct ShiftSelector {
     counters: Mutex<HashMap<(String, String), ShiftCounter>>,
 }
 
-impl ShiftDesk {
+impl ShiftSelector {
     /// The region that should serve a request which arrived in region `local`.
     pub fn region_for(
         &self,
--- a/crates/jackdawmux_entry/tests/failures.rs
+++ b/crates/jackdawmux_entry/tests/failures.rs
@@ -259,8 +259,8 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn tickets_of_a_leaving_entry_run_once_at_its_heir() {
-    let mut system = TestSystem::start("heir", SIZE).await;
+async fn tickets_of_a_leaving_entry_run_once_at_its_successor() {
+    let mut system = TestSystem::start("successor", SIZE).await;
     let (used, unused) = (system.ticket(1).await, system.ticket(1).await);
     let (_, outcome, _) = system.refund(1, &used, "{}").await;
     assert_eq!(outcome, "ran");
--- a/crates/jackdawmux_peer/src/frame.rs
+++ b/crates/jackdawmux_peer/src/frame.rs
@@ -2,7 +2,7 @@
 
 use jackdawmux_policy::hlc::HybridStamp;
 use jackdawmux_policy::message::SteeringMessage;
-use jackdawmux_policy::ticket::TicketEstate;
+use jackdawmux_policy::ticket::TicketHandover;
 use serde::{Deserialize, Serialize};
 use strum::AsRefStr;
 
@@ -31,7 +31,7 @@
     /// Offers a version of the configuration.
     ConfigOffer(ConfigContent),
     /// Passes on the tickets of a process that has stopped, to the one that may run them.
-    Estate(TicketEstate),
+    TicketHandover(TicketHandover),
 }
 
 /// One frame between instances.
--- a/crates/jackdawmux_peer/tests/frames.rs
+++ b/crates/jackdawmux_peer/tests/frames.rs
@@ -9,30 +9,30 @@
 use jackdawmux_policy::clock::PolicyTime;
 use jackdawmux_policy::hlc::HybridStamp;
 use jackdawmux_policy::identity::IncarnationId;
-use jackdawmux_policy::message::{InstancePulse, ServiceReport, SteeringMessage};
+use jackdawmux_policy::message::{InstanceHeartbeat, ServiceReport, SteeringMessage};
 use proptest::prelude::{any, proptest};
 use rstest::rstest;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-fn pulse() -> PeerFrame {
+fn heartbeat() -> PeerFrame {
     let report = ServiceReport {
         service: "ledger".to_owned(),
         idle: 3,
         slots: 9,
         ..ServiceReport::default()
     };
-    let pulse = InstancePulse {
+    let heartbeat = InstanceHeartbeat {
         clock: PolicyTime(5),
         config_version: 2,
         view_version: 3,
         reports: vec![report],
         is_leaving: false,
-        estates: Vec::new(),
+        handovers: Vec::new(),
     };
     let stamp = HybridStamp { wall_ms: 1, logical: 2 };
-    PeerFrame { stamp, body: FrameBody::Steering(SteeringMessage::Pulse(pulse)) }
+    PeerFrame { stamp, body: FrameBody::Steering(SteeringMessage::Heartbeat(heartbeat)) }
 }
 
 proptest! {
@@ -50,7 +50,7 @@
 
     #[test]
     fn a_changed_frame_is_refused_or_read(position in 0_usize..200, byte in any::<u8>()) {
-        let mut bytes = encode_frame(&pulse()).unwrap();
+        let mut bytes = encode_frame(&heartbeat()).unwrap();
         let position = position % bytes.len();
         bytes[position] = byte;
         let _outcome = decode_frame(&bytes);
@@ -59,8 +59,8 @@
 
 #[test]
 fn a_frame_reads_as_it_was_written() {
-    let bytes = encode_frame(&pulse()).unwrap();
-    assert_eq!(decode_frame(&bytes).unwrap(), pulse());
+    let bytes = encode_frame(&heartbeat()).unwrap();
+    assert_eq!(decode_frame(&bytes).unwrap(), heartbeat());
 }
 
 #[test]
@@ -70,7 +70,7 @@
 
 #[test]
 fn unknown_fields_are_skipped() {
-    let bytes = encode_frame(&pulse()).unwrap();
+    let bytes = encode_frame(&heartbeat()).unwrap();
     let mut value: ciborium::Value = ciborium::from_reader(bytes.as_slice()).unwrap();
     let ciborium::Value::Map(fields) = &mut value else {
         panic!("a frame is a map");
@@ -78,7 +78,7 @@
     fields.push((ciborium::Value::from("later"), ciborium::Value::from(1)));
     let mut bytes = Vec::new();
     ciborium::into_writer(&value, &mut bytes).unwrap();
-    assert_eq!(decode_frame(&bytes).unwrap(), pulse());
+    assert_eq!(decode_frame(&bytes).unwrap(), heartbeat());
 }
 
 fn keys(keys: &[&str]) -> PeerKeys {
--- a/crates/jackdawmux_policy/src/lease.rs
+++ b/crates/jackdawmux_policy/src/lease.rs
@@ -3,11 +3,11 @@
 //! Each member of a group names, in the stored view, a committee of other members. It may give
 //! out the slots it owns while enough of the committee have recently promised to leave them to
 //! it; no store call is involved, so leases go on through a store outage. Another member takes
-//! them over only after enough of the same committee have let their promises run out and vowed
+//! them over only after enough of the same committee have let their promises run out and voted
 //! to make no more, and after a conditional update of the view. The two counts always share a
 //! committee member, so holder and taker never both count as owner.
 //!
-//! A vow names the version of the view under which it was made. It ends only when the holder
+//! A vote names the version of the view under which it was made. It ends only when the holder
 //! shows a higher version: by then the taker's update has either taken effect, which the holder
 //! has seen, or can no longer do so.
 
@@ -31,9 +31,9 @@
     size / 2
 }
 
-/// Vows that a taker needs from a committee of `size`; `None` when no takeover is possible.
+/// Votes that a taker needs from a committee of `size`; `None` when no takeover is possible.
 #[must_use]
-pub const fn vows_needed(size: usize) -> Option<usize> {
+pub const fn votes_needed(size: usize) -> Option<usize> {
     if size < 2 { None } else { Some(size - promises_needed(size) + 1) }
 }
 
@@ -42,7 +42,7 @@
 pub struct LeaseSettings {
     /// Validity of a promise, counted by the holder from when it asked.
     pub promise_ttl: Duration,
-    /// Extra time that a committee member waits before a vow, for clocks of unequal rate.
+    /// Extra time that a committee member waits before a vote, for clocks of unequal rate.
     pub rate_margin: Duration,
 }
 
@@ -155,51 +155,51 @@
     }
 }
 
-/// Answer to a request for a vow.
+/// Answer to a request for a vote.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum VowAnswer {
+pub enum VoteAnswer {
     /// No promise stands, and none will be made until the holder shows a higher version.
-    Vowed,
+    Voted,
     /// A promise may still stand.
     Refused,
 }
 
-/// The committee member's side: promises and vows made to each holder.
+/// The committee member's side: promises and votes made to each holder.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct PromiseGiver {
     settings: LeaseSettings,
     asked: BTreeMap<IncarnationId, PolicyTime>,
     last: BTreeMap<IncarnationId, PolicyTime>,
-    vows: BTreeMap<IncarnationId, u64>,
+    votes: BTreeMap<IncarnationId, u64>,
 }
 
 impl PromiseGiver {
     /// A member that has promised nothing.
     #[must_use]
     pub fn new(settings: LeaseSettings) -> Self {
-        Self { settings, asked: BTreeMap::new(), last: BTreeMap::new(), vows: BTreeMap::new() }
+        Self { settings, asked: BTreeMap::new(), last: BTreeMap::new(), votes: BTreeMap::new() }
     }
 
     /// A holder that has seen version `seen` of the view asks for a promise.
     pub fn promise(&mut self, now: PolicyTime, holder: IncarnationId, seen: u64) -> bool {
         self.asked.insert(holder, now);
-        if self.vows.get(&holder).is_some_and(|version| seen <= *version) {
+        if self.votes.get(&holder).is_some_and(|version| seen <= *version) {
             return false;
         }
-        self.vows.remove(&holder);
+        self.votes.remove(&holder);
         self.last.insert(holder, now);
         true
     }
 
-    /// A taker that read version `version` of the view asks for a vow against `holder`.
-    pub fn vow(&mut self, now: PolicyTime, holder: IncarnationId, version: u64) -> VowAnswer {
+    /// A taker that read version `version` of the view asks for a vote against `holder`.
+    pub fn vote(&mut self, now: PolicyTime, holder: IncarnationId, version: u64) -> VoteAnswer {
         let span = self.settings.promise_ttl + self.settings.rate_margin;
         if self.last.get(&holder).is_some_and(|last| now < *last + span) {
-            return VowAnswer::Refused;
+            return VoteAnswer::Refused;
         }
-        let known = self.vows.entry(holder).or_insert(version);
+        let known = self.votes.entry(holder).or_insert(version);
         *known = (*known).max(version);
-        VowAnswer::Vowed
+        VoteAnswer::Voted
     }
 
     /// Whether `holder` has been silent long enough that a takeover may be considered.
@@ -213,7 +213,7 @@
     pub fn retain(&mut self, is_known: impl Fn(IncarnationId) -> bool) {
         self.asked.retain(|holder, _| is_known(*holder));
         self.last.retain(|holder, _| is_known(*holder));
-        self.vows.retain(|holder, _| is_known(*holder));
+        self.votes.retain(|holder, _| is_known(*holder));
     }
 }
 
@@ -225,34 +225,35 @@
     /// Version of the view that the bid builds on.
     pub version: u64,
     committee: LeaseCommittee,
-    vows: SmallVec<[IncarnationId; 6]>,
+    votes: SmallVec<[IncarnationId; 6]>,
 }
 
 impl TakeoverBid {
     /// A bid against `holder`, whose committee in version `version` of the view is `committee`.
     #[must_use]
     pub fn new(holder: IncarnationId, version: u64, committee: LeaseCommittee) -> Self {
-        Self { holder, version, committee, vows: SmallVec::new() }
+        Self { holder, version, committee, votes: SmallVec::new() }
     }
 
-    /// Members to ask for a vow.
+    /// Members to ask for a vote.
     #[must_use]
     pub const fn committee(&self) -> &LeaseCommittee {
         &self.committee
     }
 
-    /// Counts a vow made under `version`.
-    pub fn vowed(&mut self, peer: IncarnationId, version: u64) {
-        let counts =
-            version == self.version && self.committee.contains(&peer) && !self.vows.contains(&peer);
+    /// Counts a vote made under `version`.
+    pub fn voted(&mut self, peer: IncarnationId, version: u64) {
+        let counts = version == self.version
+            && self.committee.contains(&peer)
+            && !self.votes.contains(&peer);
         if counts {
-            self.vows.push(peer);
+            self.votes.push(peer);
         }
     }
 
     /// Whether the view may now be updated, conditionally on [`Self::version`].
     #[must_use]
     pub fn is_won(&self) -> bool {
-        vows_needed(self.committee.len()).is_some_and(|needed| self.vows.len() >= needed)
+        votes_needed(self.committee.len()).is_some_and(|needed| self.votes.len() >= needed)
     }
 }
--- a/crates/jackdawmux_policy/src/lib.rs
+++ b/crates/jackdawmux_policy/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod assignment;
 pub mod claim;
 pub mod clock;
-pub mod desk;
+
 pub mod endpoint;
 pub mod group;
 pub mod hlc;
@@ -22,6 +22,7 @@
 pub mod poison;
 pub mod queue;
 pub mod retry;
+pub mod scheduler;
 pub mod shift;
 pub mod steering;
 pub mod table;
--- a/crates/jackdawmux_policy/src/membership.rs
+++ b/crates/jackdawmux_policy/src/membership.rs
@@ -14,20 +14,20 @@
 use crate::group::{GroupMember, GroupView, OwnerMove};
 use crate::identity::{IncarnationId, mix64};
 use crate::lease::{
-    LeaseCommittee, LeaseHolder, LeaseSettings, PromiseGiver, TakeoverBid, VowAnswer,
+    LeaseCommittee, LeaseHolder, LeaseSettings, PromiseGiver, TakeoverBid, VoteAnswer,
 };
 use crate::message::SteeringMessage;
 use crate::table::RouteTable;
 
 /// Silence after which a peer of a small group is no longer named to callers or passed requests.
 const PEER_SILENCE: Duration = Duration::from_millis(1_200);
-/// Silence added for each further round that a pulse to the whole group takes.
+/// Silence added for each further round that a heartbeat to the whole group takes.
 const ROUND_SILENCE: Duration = Duration::from_millis(400);
-/// Peers that each pulse goes to; a larger group is covered in rounds.
-pub const PULSE_FANOUT: usize = 12;
+/// Peers that each heartbeat goes to; a larger group is covered in rounds.
+pub const HEARTBEAT_FANOUT: usize = 12;
 /// Extra silence for each rank before a takeover is bid for, so that bids rarely collide.
 const BID_STAGGER: Duration = Duration::from_millis(400);
-/// Pause between updates that only raise the view's version to end vows.
+/// Pause between updates that only raise the view's version to end votes.
 const TOUCH_PAUSE: Duration = Duration::from_secs(1);
 /// Pause between reads of the view that are asked for.
 const READ_PAUSE: Duration = Duration::from_secs(1);
@@ -160,7 +160,7 @@
 
     /// Silence after which a peer counts as gone, by the size of the group.
     fn silence(&self) -> Duration {
-        let rounds = self.view.members.len().div_ceil(PULSE_FANOUT).saturating_sub(1);
+        let rounds = self.view.members.len().div_ceil(HEARTBEAT_FANOUT).saturating_sub(1);
         PEER_SILENCE + ROUND_SILENCE * u32::try_from(rounds).unwrap_or(u32::MAX)
     }
 
@@ -219,7 +219,7 @@
         self.first_seen.retain(|peer, _| view.member(*peer).is_some());
         self.leaving.retain(|peer| view.member(*peer).is_some());
         self.giver.retain(|holder| view.member(holder).is_some());
-        // Vows made under an older version do not count for an update of this one.
+        // Votes made under an older version do not count for an update of this one.
         self.bid = None;
         true
     }
@@ -240,13 +240,15 @@
                 }
             }
             SteeringMessage::PromiseGiven { asked_at } => self.holder.promised(peer, *asked_at),
-            SteeringMessage::VowAsk { holder, version } => {
-                if self.giver.vow(now, *holder, *version) == VowAnswer::Vowed {
-                    let answer = SteeringMessage::VowMade { holder: *holder, version: *version };
+            SteeringMessage::VoteAsk { holder, version } => {
+                if self.giver.vote(now, *holder, *version) == VoteAnswer::Voted {
+                    let answer = SteeringMessage::VoteMade { holder: *holder, version: *version };
                     actions.push(MembershipAction::Send(peer, answer));
                 }
             }
-            SteeringMessage::VowMade { holder, version } => self.count_vow(peer, *holder, *version),
+            SteeringMessage::VoteMade { holder, version } => {
+                self.count_vote(peer, *holder, *version)
+            }
             SteeringMessage::ViewAsk { seen } => {
                 if self.version > *seen {
                     let (version, view) = (self.version, self.view.clone());
@@ -254,11 +256,11 @@
                     actions.push(MembershipAction::Send(peer, answer));
                 }
             }
-            SteeringMessage::Pulse(pulse) => {
-                if pulse.is_leaving {
+            SteeringMessage::Heartbeat(heartbeat) => {
+                if heartbeat.is_leaving {
                     self.leaving.insert(peer);
                 }
-                if pulse.view_version > self.version {
+                if heartbeat.view_version > self.version {
                     let ask = SteeringMessage::ViewAsk { seen: self.version };
                     actions.push(MembershipAction::Send(peer, ask));
                 }
@@ -268,8 +270,8 @@
     }
 
     /// Regular work: ask for promises, watch for silent members and plan the next update.
-    /// `released` are endpoints that the desks have stopped using.
-    pub fn pulse(
+    /// `released` are endpoints that the schedulers have stopped using.
+    pub fn heartbeat(
         &mut self,
         now: PolicyTime,
         table: &RouteTable,
@@ -301,7 +303,7 @@
     }
 
     /// Whether a holder that has seen no more than this instance was taken out of the view. The
-    /// vows against it ended with its removal, so this alone keeps it from a new promise.
+    /// votes against it ended with its removal, so this alone keeps it from a new promise.
     fn was_removed(&self, holder: IncarnationId, seen: u64) -> bool {
         seen <= self.version && self.view.member(holder).is_none()
     }
@@ -352,7 +354,7 @@
             return;
         }
         if !self.is_store_up(now) {
-            // Vows are asked for only while the store can settle what they are for.
+            // Votes are asked for only while the store can settle what they are for.
             self.bid = None;
             if self.silent_member(now).is_some() {
                 self.ask_read(now, actions);
@@ -371,14 +373,14 @@
         }
         for peer in bid.committee() {
             if *peer != self.own.incarnation {
-                let ask = SteeringMessage::VowAsk { holder: bid.holder, version: bid.version };
+                let ask = SteeringMessage::VoteAsk { holder: bid.holder, version: bid.version };
                 actions.push(MembershipAction::Send(*peer, ask));
             }
         }
         if bid.committee().contains(&self.own.incarnation)
-            && self.giver.vow(now, bid.holder, bid.version) == VowAnswer::Vowed
+            && self.giver.vote(now, bid.holder, bid.version) == VoteAnswer::Voted
         {
-            self.count_vow(self.own.incarnation, bid.holder, bid.version);
+            self.count_vote(self.own.incarnation, bid.holder, bid.version);
         }
     }
 
@@ -418,9 +420,9 @@
         u32::try_from(before.count()).unwrap_or(u32::MAX).min(8)
     }
 
-    fn count_vow(&mut self, peer: IncarnationId, holder: IncarnationId, version: u64) {
+    fn count_vote(&mut self, peer: IncarnationId, holder: IncarnationId, version: u64) {
         if let Some(bid) = self.bid.as_mut().filter(|bid| bid.holder == holder) {
-            bid.vowed(peer, version);
+            bid.voted(peer, version);
         }
     }
 
@@ -480,7 +482,7 @@
         actions.push(MembershipAction::Write { expected: self.version, view: next });
     }
 
-    /// A member without its lease may be held back by vows of an abandoned takeover; those end
+    /// A member without its lease may be held back by votes of an abandoned takeover; those end
     /// when it can show a higher version.
     fn is_touch_due(&self, now: PolicyTime) -> bool {
         let has_lapsed = self.is_member && now >= self.lease_until();
--- a/crates/jackdawmux_policy/src/message.rs
+++ b/crates/jackdawmux_policy/src/message.rs
@@ -29,7 +29,7 @@
 }
 
 impl Serialize for ServiceReport {
-    // One tuple without field names: every pulse carries one for each service.
+    // One tuple without field names: every heartbeat carries one for each service.
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let mut tuple = serializer.serialize_tuple(6)?;
         tuple.serialize_element(&self.service)?;
@@ -73,7 +73,7 @@
 
 /// Regular report of an instance.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct InstancePulse {
+pub struct InstanceHeartbeat {
     /// The sender's monotonic clock.
     pub clock: PolicyTime,
     /// Version of the configuration in force; zero when none is.
@@ -86,7 +86,7 @@
     pub is_leaving: bool,
     /// Former processes whose tickets the sender holds.
     #[serde(default)]
-    pub estates: Vec<IncarnationId>,
+    pub handovers: Vec<IncarnationId>,
 }
 
 /// A message between two instances.
@@ -94,7 +94,7 @@
 #[strum(serialize_all = "kebab-case")]
 pub enum SteeringMessage {
     /// Regular report; also sent at once when something in it changes.
-    Pulse(InstancePulse),
+    Heartbeat(InstanceHeartbeat),
     /// Asks a committee member for a promise.
     PromiseAsk {
         /// The holder's clock when it asked.
@@ -107,15 +107,15 @@
         /// Copied from the request.
         asked_at: PolicyTime,
     },
-    /// Asks a committee member for a vow against a silent holder.
-    VowAsk {
+    /// Asks a committee member for a vote against a silent holder.
+    VoteAsk {
         /// The silent holder.
         holder: IncarnationId,
         /// Version of the stored view that the taker builds on.
         version: u64,
     },
-    /// Makes a vow.
-    VowMade {
+    /// Makes a vote.
+    VoteMade {
         /// Copied from the request.
         holder: IncarnationId,
         /// Copied from the request.
--- a/crates/jackdawmux_policy/src/desk.rs
+++ b/crates/jackdawmux_policy/src/scheduler.rs
@@ -37,9 +37,9 @@
 /// Waiters looked at again on each tick.
 const REVIEW_COUNT: usize = 32;
 
-/// Fixed settings of a desk.
+/// Fixed settings of a scheduler.
 #[derive(Clone, Copy, Debug)]
-pub struct DeskSettings {
+pub struct SchedulerSettings {
     /// Most waiters.
     pub queue_limit: usize,
     /// Longest work that may run under a slot.
@@ -48,7 +48,7 @@
     pub passes_on: bool,
 }
 
-/// What a request asks of the desk.
+/// What a request asks of the scheduler.
 #[derive(Clone, Debug)]
 pub struct SlotRequest {
     /// The try that asks.
@@ -90,9 +90,9 @@
     is_exclusive: bool,
 }
 
-/// Something the caller of the desk must carry out.
+/// Something the caller of the scheduler must carry out.
 #[derive(Clone, Debug, PartialEq)]
-pub enum DeskAction {
+pub enum SchedulerAction {
     /// Send the request to the endpoint; the work must end within `allowance` of now.
     Dispatch {
         /// The try.
@@ -123,12 +123,12 @@
 }
 
 /// Actions of one event.
-pub type DeskActions = SmallVec<[DeskAction; 4]>;
+pub type SchedulerActions = SmallVec<[SchedulerAction; 4]>;
 
 /// Steering state of one service at one instance.
 #[derive(Debug)]
-pub struct ServiceDesk {
-    settings: DeskSettings,
+pub struct ServiceScheduler {
+    settings: SchedulerSettings,
     domain: String,
     region: String,
     endpoints: Vec<EndpointSlots>,
@@ -141,10 +141,10 @@
     budget: RetryBudget,
 }
 
-impl ServiceDesk {
-    /// A desk for an instance in `domain`, with no endpoints and no lease yet.
+impl ServiceScheduler {
+    /// A scheduler for an instance in `domain`, with no endpoints and no lease yet.
     #[must_use]
-    pub fn new(settings: DeskSettings, domain: &str) -> Self {
+    pub fn new(settings: SchedulerSettings, domain: &str) -> Self {
         Self {
             settings,
             domain: domain.to_owned(),
@@ -264,8 +264,8 @@
     }
 
     /// Applies changed slots and draining from a new version of the rules.
-    pub fn amend(&mut self, address: SocketAddr, hard: u32, is_draining: bool) -> DeskActions {
-        let mut actions = DeskActions::new();
+    pub fn amend(&mut self, address: SocketAddr, hard: u32, is_draining: bool) -> SchedulerActions {
+        let mut actions = SchedulerActions::new();
         let Some(index) = self.position(address) else {
             return actions;
         };
@@ -275,7 +275,7 @@
             (true, EndpointState::Draining) => {}
             (true, _) => {
                 endpoint.state = EndpointState::Draining;
-                actions.push(DeskAction::CloseIdle(address));
+                actions.push(SchedulerAction::CloseIdle(address));
             }
             (false, EndpointState::Draining) => {
                 endpoint.state = EndpointState::Open;
@@ -287,8 +287,8 @@
     }
 
     /// A new request, or a retry of one under a new id.
-    pub fn arrive(&mut self, now: PolicyTime, request: SlotRequest) -> DeskActions {
-        let mut actions = DeskActions::new();
+    pub fn arrive(&mut self, now: PolicyTime, request: SlotRequest) -> SchedulerActions {
+        let mut actions = SchedulerActions::new();
         if request.deadline <= now {
             refuse(&mut actions, request.id, RefusalReason::DeadlinePassed, RETURN_SHORTEST);
             return actions;
@@ -324,8 +324,8 @@
         id: RequestId,
         result: ExchangeResult,
         latency: Duration,
-    ) -> DeskActions {
-        let mut actions = DeskActions::new();
+    ) -> SchedulerActions {
+        let mut actions = SchedulerActions::new();
         let Some(run) = self.running.remove(&id) else {
             return actions;
         };
@@ -368,8 +368,8 @@
 
     /// Lets time pass: expired waiters are refused, free slots given out, and waiters that a
     /// peer can now serve sooner are passed on.
-    pub fn tick(&mut self, now: PolicyTime) -> DeskActions {
-        let mut actions = DeskActions::new();
+    pub fn tick(&mut self, now: PolicyTime) -> SchedulerActions {
+        let mut actions = SchedulerActions::new();
         for waiter in self.queue.take_expired(now) {
             self.waiting.remove(&waiter.id);
             let pause = self.return_pause(waiter.priority);
@@ -429,7 +429,12 @@
         (is_avoided, is_foreign, is_settled, endpoint.load_permille(), latency + distance)
     }
 
-    fn dispatch(&mut self, now: PolicyTime, index: usize, request: &SlotRequest) -> DeskAction {
+    fn dispatch(
+        &mut self,
+        now: PolicyTime,
+        index: usize,
+        request: &SlotRequest,
+    ) -> SchedulerAction {
         let endpoint = &mut self.endpoints[index];
         endpoint.used += 1;
         endpoint.is_exclusive = request.is_suspect;
@@ -438,10 +443,10 @@
         let run = RunningRequest { endpoint: address, is_exclusive: request.is_suspect };
         self.running.insert(request.id, run);
         let allowance = request.deadline.since(now).min(self.settings.longest_work);
-        DeskAction::Dispatch { id: request.id, endpoint: address, domain, allowance }
+        SchedulerAction::Dispatch { id: request.id, endpoint: address, domain, allowance }
     }
 
-    fn wait(&mut self, now: PolicyTime, request: SlotRequest, actions: &mut DeskActions) {
+    fn wait(&mut self, now: PolicyTime, request: SlotRequest, actions: &mut SchedulerActions) {
         let id = request.id;
         let own = self.own_wait(now, request.priority);
         let best = self.best_peer(&request);
@@ -479,11 +484,11 @@
         self.waiting.insert(id, request);
     }
 
-    fn pass_on(&mut self, peer: IncarnationId, id: RequestId, actions: &mut DeskActions) {
+    fn pass_on(&mut self, peer: IncarnationId, id: RequestId, actions: &mut SchedulerActions) {
         if let Some(state) = self.peers.get_mut(&peer) {
             state.passed += 1;
         }
-        actions.push(DeskAction::PassOn { id, peer });
+        actions.push(SchedulerAction::PassOn { id, peer });
     }
 
     fn mean_us(&self) -> f64 {
@@ -537,7 +542,7 @@
             .map(|(micros, peer)| (peer, Duration::from_micros(micros)))
     }
 
-    fn review_waiters(&mut self, now: PolicyTime, actions: &mut DeskActions) {
+    fn review_waiters(&mut self, now: PolicyTime, actions: &mut SchedulerActions) {
         let first: SmallVec<[RequestId; REVIEW_COUNT]> =
             self.queue.first(REVIEW_COUNT).map(|waiter| waiter.id).collect();
         for id in first {
@@ -573,7 +578,7 @@
     }
 
     /// Gives free slots to waiters, in the queue's order.
-    fn serve_waiters(&mut self, now: PolicyTime, actions: &mut DeskActions) {
+    fn serve_waiters(&mut self, now: PolicyTime, actions: &mut SchedulerActions) {
         while !self.queue.is_empty() && self.idle(now) > 0 {
             let served = self.queue.first_where(|waiter| {
                 let request = self.waiting.get(&waiter.id);
@@ -608,6 +613,12 @@
     way + ahead * u64::from(report.mean_us) / u64::from(report.slots.max(1))
 }
 
-fn refuse(actions: &mut DeskActions, id: RequestId, reason: RefusalReason, retry_after: Duration) {
-    actions.push(DeskAction::Refuse { id, refusal: RequestRefusal::later(reason, retry_after) });
+fn refuse(
+    actions: &mut SchedulerActions,
+    id: RequestId,
+    reason: RefusalReason,
+    retry_after: Duration,
+) {
+    actions
+        .push(SchedulerAction::Refuse { id, refusal: RequestRefusal::later(reason, retry_after) });
 }
--- a/crates/jackdawmux_policy/src/steering.rs
+++ b/crates/jackdawmux_policy/src/steering.rs
@@ -1,4 +1,4 @@
-//! The whole steering state of one instance: membership and one desk for each service.
+//! The whole steering state of one instance: membership and one scheduler for each service.
 //!
 //! An instance feeds it requests, messages of peers, stored views, new tables and the passing of
 //! time, and carries out the actions that come back.
@@ -9,18 +9,20 @@
 use std::time::Duration;
 
 use crate::clock::PolicyTime;
-use crate::desk::{DeskAction, DeskActions, DeskSettings, PeerState, ServiceDesk, SlotRequest};
 use crate::endpoint::{EndpointSlots, ExchangeResult};
 use crate::group::{GroupMember, GroupView, OwnerMove};
 use crate::identity::{IncarnationId, RequestId};
 use crate::lease::LeaseSettings;
-use crate::membership::{GroupMembership, MembershipAction, MembershipEvent, PULSE_FANOUT};
-use crate::message::{InstancePulse, ServiceReport, SteeringMessage};
+use crate::membership::{GroupMembership, HEARTBEAT_FANOUT, MembershipAction, MembershipEvent};
+use crate::message::{InstanceHeartbeat, ServiceReport, SteeringMessage};
 use crate::outcome::{RefusalReason, RequestRefusal};
+use crate::scheduler::{
+    PeerState, SchedulerAction, SchedulerActions, SchedulerSettings, ServiceScheduler, SlotRequest,
+};
 use crate::table::{RouteTable, ServiceSpec};
 
 /// Former processes whose tickets an instance tells its peers to hold, the latest ones.
-const ESTATE_LIMIT: usize = 32;
+const ADOPTED_LIMIT: usize = 32;
 
 /// Fixed settings of the steering state.
 #[derive(Clone, Copy, Debug)]
@@ -104,11 +106,11 @@
     membership: GroupMembership,
     table: Arc<RouteTable>,
     config_version: u64,
-    desks: BTreeMap<String, ServiceDesk>,
+    schedulers: BTreeMap<String, ServiceScheduler>,
     identities: BTreeMap<IncarnationId, String>,
     releasing: Vec<OwnerMove>,
-    next_pulse: usize,
-    estates: Vec<IncarnationId>,
+    next_heartbeat: usize,
+    handovers: Vec<IncarnationId>,
 }
 
 impl InstanceSteering {
@@ -121,11 +123,11 @@
             membership: GroupMembership::new(own, settings.lease),
             table: Arc::new(RouteTable::default()),
             config_version: 0,
-            desks: BTreeMap::new(),
+            schedulers: BTreeMap::new(),
             identities: BTreeMap::new(),
             releasing: Vec::new(),
-            next_pulse: 0,
-            estates: Vec::new(),
+            next_heartbeat: 0,
+            handovers: Vec::new(),
         }
     }
 
@@ -137,8 +139,8 @@
 
     /// Desks by service, for reports.
     #[must_use]
-    pub const fn desks(&self) -> &BTreeMap<String, ServiceDesk> {
-        &self.desks
+    pub const fn schedulers(&self) -> &BTreeMap<String, ServiceScheduler> {
+        &self.schedulers
     }
 
     /// The table in force.
@@ -165,12 +167,12 @@
         self.config_version = version;
         let table = Arc::clone(&self.table);
         for service in &table.services {
-            self.add_desk(service);
-            let Some(desk) = self.desks.get_mut(&service.name) else {
+            self.add_scheduler(service);
+            let Some(scheduler) = self.schedulers.get_mut(&service.name) else {
                 continue;
             };
             for endpoint in &service.endpoints {
-                let done = desk.amend(endpoint.address, endpoint.slots, endpoint.is_draining);
+                let done = scheduler.amend(endpoint.address, endpoint.slots, endpoint.is_draining);
                 translate(done, &mut actions);
             }
         }
@@ -219,12 +221,12 @@
         self.membership.end_write();
     }
 
-    /// This instance holds the tickets of a former process; peers are told with each pulse.
-    pub fn hold_estate(&mut self, home: IncarnationId) {
-        if self.estates.len() >= ESTATE_LIMIT {
-            self.estates.remove(0);
+    /// This instance holds the tickets of a former process; peers are told with each heartbeat.
+    pub fn adopt_tickets(&mut self, home: IncarnationId) {
+        if self.handovers.len() >= ADOPTED_LIMIT {
+            self.handovers.remove(0);
         }
-        self.estates.push(home);
+        self.handovers.push(home);
     }
 
     /// A peer in `domain` proved itself on a link.
@@ -241,19 +243,19 @@
         request: SlotRequest,
     ) -> Vec<SteeringAction> {
         let mut actions = Vec::new();
-        let Some(desk) = self.desks.get_mut(service) else {
+        let Some(scheduler) = self.schedulers.get_mut(service) else {
             let refusal = RequestRefusal::never(RefusalReason::NoRoute);
             actions.push(SteeringAction::Refuse { id: request.id, refusal });
             return actions;
         };
-        desk.set_lease(self.membership.lease_until());
-        translate(desk.arrive(now, request), &mut actions);
+        scheduler.set_lease(self.membership.lease_until());
+        translate(scheduler.arrive(now, request), &mut actions);
         actions
     }
 
     /// Whether a retry of a request of `service` may be made.
     pub fn spend_retry(&mut self, service: &str) -> bool {
-        self.desks.get_mut(service).is_some_and(ServiceDesk::spend_retry)
+        self.schedulers.get_mut(service).is_some_and(ServiceScheduler::spend_retry)
     }
 
     /// A dispatched request ended.
@@ -266,9 +268,9 @@
         latency: Duration,
     ) -> Vec<SteeringAction> {
         let mut actions = Vec::new();
-        if let Some(desk) = self.desks.get_mut(service) {
-            desk.set_lease(self.membership.lease_until());
-            let done = desk.finish(now, id, result, latency);
+        if let Some(scheduler) = self.schedulers.get_mut(service) {
+            scheduler.set_lease(self.membership.lease_until());
+            let done = scheduler.finish(now, id, result, latency);
             translate(done, &mut actions);
         }
         actions
@@ -276,21 +278,21 @@
 
     /// A waiting request is no longer wanted.
     pub fn cancel(&mut self, service: &str, id: RequestId) {
-        if let Some(desk) = self.desks.get_mut(service) {
-            desk.cancel(id);
+        if let Some(scheduler) = self.schedulers.get_mut(service) {
+            scheduler.cancel(id);
         }
     }
 
     /// What peers are told about one service.
     #[must_use]
     pub fn service_report(&self, now: PolicyTime, service: &str) -> Option<ServiceReport> {
-        self.desks.get(service).map(|desk| desk.report(now, service))
+        self.schedulers.get(service).map(|scheduler| scheduler.report(now, service))
     }
 
     /// Fresh counts of a peer, as they come with each answer of it.
     pub fn hear_counts(&mut self, peer: IncarnationId, report: ServiceReport) {
-        if let Some(desk) = self.desks.get_mut(&report.service) {
-            desk.hear_counts(peer, report);
+        if let Some(scheduler) = self.schedulers.get_mut(&report.service) {
+            scheduler.hear_counts(peer, report);
         }
     }
 
@@ -307,14 +309,16 @@
         self.membership.receive(now, peer, &message, &mut lease_actions);
         actions.extend(lease_actions.into_iter().map(from_membership));
         match message {
-            SteeringMessage::Pulse(pulse) => self.hear_pulse(peer, pulse, &mut actions),
+            SteeringMessage::Heartbeat(heartbeat) => {
+                self.hear_heartbeat(peer, heartbeat, &mut actions)
+            }
             SteeringMessage::ViewOffer { version, view } => {
                 actions.extend(self.see_view(now, version, view));
             }
             SteeringMessage::PromiseAsk { .. }
             | SteeringMessage::PromiseGiven { .. }
-            | SteeringMessage::VowAsk { .. }
-            | SteeringMessage::VowMade { .. }
+            | SteeringMessage::VoteAsk { .. }
+            | SteeringMessage::VoteMade { .. }
             | SteeringMessage::ViewAsk { .. }
             | SteeringMessage::Suspect { .. } => {}
         }
@@ -322,19 +326,19 @@
     }
 
     /// Regular work, several times a second.
-    pub fn pulse(&mut self, now: PolicyTime) -> Vec<SteeringAction> {
+    pub fn heartbeat(&mut self, now: PolicyTime) -> Vec<SteeringAction> {
         let mut actions = Vec::new();
         self.drop_silent_peers(now);
         let lease = self.membership.lease_until();
-        for desk in self.desks.values_mut() {
-            desk.set_lease(lease);
-            translate(desk.tick(now), &mut actions);
+        for scheduler in self.schedulers.values_mut() {
+            scheduler.set_lease(lease);
+            translate(scheduler.tick(now), &mut actions);
         }
         self.advance(now, &mut actions);
-        let pulse = self.report(now);
+        let heartbeat = self.report(now);
         let peers: Vec<_> = self.membership.living(now).collect();
-        for peer in self.pulse_targets(&peers) {
-            actions.push(SteeringAction::Send(peer, SteeringMessage::Pulse(pulse.clone())));
+        for peer in self.heartbeat_targets(&peers) {
+            actions.push(SteeringAction::Send(peer, SteeringMessage::Heartbeat(heartbeat.clone())));
         }
         actions
     }
@@ -342,52 +346,52 @@
     /// A planned stop begins: endpoints are handed over as they fall idle.
     pub fn leave(&mut self, now: PolicyTime) -> Vec<SteeringAction> {
         self.membership.leave();
-        self.pulse(now)
+        self.heartbeat(now)
     }
 
     /// Whether nothing runs or waits here any more.
     #[must_use]
     pub fn is_drained(&self) -> bool {
-        self.desks.values().all(|desk| {
-            let is_unused = desk.endpoints().iter().all(|endpoint| endpoint.used == 0);
-            is_unused && desk.running() == 0 && desk.waiting() == 0
+        self.schedulers.values().all(|scheduler| {
+            let is_unused = scheduler.endpoints().iter().all(|endpoint| endpoint.used == 0);
+            is_unused && scheduler.running() == 0 && scheduler.waiting() == 0
         })
     }
 
-    fn add_desk(&mut self, service: &ServiceSpec) {
-        let settings = DeskSettings {
+    fn add_scheduler(&mut self, service: &ServiceSpec) {
+        let settings = SchedulerSettings {
             queue_limit: self.settings.queue_limit,
             longest_work: service.longest_timeout(),
             passes_on: self.settings.passes_on,
         };
         let region = self.region().to_owned();
         let domain = &self.domain;
-        let desk = self
-            .desks
+        let scheduler = self
+            .schedulers
             .entry(service.name.clone())
-            .or_insert_with(|| ServiceDesk::new(settings, domain));
-        desk.set_longest_work(service.longest_timeout());
-        desk.set_region(&region);
+            .or_insert_with(|| ServiceScheduler::new(settings, domain));
+        scheduler.set_longest_work(service.longest_timeout());
+        scheduler.set_region(&region);
     }
 
-    /// Makes the desks hold exactly the endpoints that the view gives this instance.
+    /// Makes the schedulers hold exactly the endpoints that the view gives this instance.
     fn sync_owned(&mut self, now: PolicyTime) {
         let own = self.membership.own();
         let table = Arc::clone(&self.table);
         for service in &table.services {
-            let Some(desk) = self.desks.get_mut(&service.name) else {
+            let Some(scheduler) = self.schedulers.get_mut(&service.name) else {
                 continue;
             };
             let held: BTreeMap<_, _> =
                 self.membership.view().owned_by(&service.name, own).collect();
-            let lost: Vec<SocketAddr> = desk
+            let lost: Vec<SocketAddr> = scheduler
                 .endpoints()
                 .iter()
                 .map(|endpoint| endpoint.address)
                 .filter(|address| !held.contains_key(address))
                 .collect();
             for address in lost {
-                desk.forfeit(address);
+                scheduler.forfeit(address);
             }
             for endpoint in &service.endpoints {
                 let Some(record) = held.get(&endpoint.address) else {
@@ -401,8 +405,14 @@
                 let usable_at = if record.is_clean { now } else { now + settle };
                 let region = table.region_of(&endpoint.domain).unwrap_or_default();
                 let (address, domain) = (endpoint.address, &endpoint.domain);
-                desk.own(EndpointSlots::new(address, domain, region, endpoint.slots, usable_at));
-                let _closed = desk.amend(address, endpoint.slots, endpoint.is_draining);
+                scheduler.own(EndpointSlots::new(
+                    address,
+                    domain,
+                    region,
+                    endpoint.slots,
+                    usable_at,
+                ));
+                let _closed = scheduler.amend(address, endpoint.slots, endpoint.is_draining);
             }
         }
     }
@@ -412,22 +422,22 @@
     fn release_misplaced(&mut self) {
         let own = self.membership.own();
         let misplaced = self.membership.view().misplaced(own, &self.table);
-        for (service, desk) in &mut self.desks {
-            let addresses: Vec<_> = desk.endpoints().iter().map(|slots| slots.address).collect();
+        for (service, scheduler) in &mut self.schedulers {
+            let addresses: Vec<_> =
+                scheduler.endpoints().iter().map(|slots| slots.address).collect();
             for address in addresses {
                 let is_misplaced = misplaced
                     .iter()
                     .any(|item| item.service == *service && item.address == address);
                 if !is_misplaced {
-                    desk.resume_using(address);
+                    scheduler.resume_using(address);
                 }
             }
         }
         for item in misplaced {
-            let is_free = self
-                .desks
-                .get_mut(&item.service)
-                .is_none_or(|desk| desk.stop_using(item.address) && desk.disown(item.address));
+            let is_free = self.schedulers.get_mut(&item.service).is_none_or(|scheduler| {
+                scheduler.stop_using(item.address) && scheduler.disown(item.address)
+            });
             let is_noted = self.releasing.iter().any(|known| known.address == item.address);
             if is_free && !is_noted {
                 self.releasing.push(item);
@@ -437,27 +447,27 @@
 
     fn advance(&mut self, now: PolicyTime, actions: &mut Vec<SteeringAction>) {
         self.release_misplaced();
-        let planned = self.membership.pulse(now, &self.table, &self.releasing);
+        let planned = self.membership.heartbeat(now, &self.table, &self.releasing);
         actions.extend(planned.into_iter().map(from_membership));
     }
 
     fn drop_silent_peers(&mut self, now: PolicyTime) {
         let living: Vec<_> = self.membership.living(now).collect();
-        for desk in self.desks.values_mut() {
-            for peer in desk.silent_peers(&living) {
-                desk.lose_peer(peer);
+        for scheduler in self.schedulers.values_mut() {
+            for peer in scheduler.silent_peers(&living) {
+                scheduler.lose_peer(peer);
             }
         }
     }
 
-    /// The peers whose turn it is; the cost of a pulse does not grow with the group.
-    fn pulse_targets(&mut self, living: &[IncarnationId]) -> Vec<IncarnationId> {
+    /// The peers whose turn it is; the cost of a heartbeat does not grow with the group.
+    fn heartbeat_targets(&mut self, living: &[IncarnationId]) -> Vec<IncarnationId> {
         let mut peers = self.known_peers(living);
-        if peers.len() > PULSE_FANOUT {
-            let start = self.next_pulse % peers.len();
+        if peers.len() > HEARTBEAT_FANOUT {
+            let start = self.next_heartbeat % peers.len();
             peers.rotate_left(start);
-            peers.truncate(PULSE_FANOUT);
-            self.next_pulse = start + PULSE_FANOUT;
+            peers.truncate(HEARTBEAT_FANOUT);
+            self.next_heartbeat = start + HEARTBEAT_FANOUT;
         }
         peers
     }
@@ -473,39 +483,40 @@
         peers
     }
 
-    fn report(&self, now: PolicyTime) -> InstancePulse {
-        let reports = self.desks.iter().map(|(service, desk)| desk.report(now, service));
-        InstancePulse {
+    fn report(&self, now: PolicyTime) -> InstanceHeartbeat {
+        let reports =
+            self.schedulers.iter().map(|(service, scheduler)| scheduler.report(now, service));
+        InstanceHeartbeat {
             clock: now,
             config_version: self.config_version,
             view_version: self.membership.version(),
             reports: reports.collect(),
             is_leaving: self.membership.is_leaving(),
-            estates: self.estates.clone(),
+            handovers: self.handovers.clone(),
         }
     }
 
-    fn hear_pulse(
+    fn hear_heartbeat(
         &mut self,
         peer: IncarnationId,
-        pulse: InstancePulse,
+        heartbeat: InstanceHeartbeat,
         actions: &mut Vec<SteeringAction>,
     ) {
-        if pulse.config_version > self.config_version {
+        if heartbeat.config_version > self.config_version {
             actions.push(SteeringAction::ConfigBehind(peer));
         }
         let domain = self.identities.get(&peer).map(String::as_str).unwrap_or_default();
         let region = self.table.region_of(domain).unwrap_or_default().to_owned();
         let delay = self.table.delay_between(self.region(), &region);
-        for report in pulse.reports {
-            let Some(desk) = self.desks.get_mut(&report.service) else {
+        for report in heartbeat.reports {
+            let Some(scheduler) = self.schedulers.get_mut(&report.service) else {
                 continue;
             };
-            if pulse.is_leaving {
-                desk.lose_peer(peer);
+            if heartbeat.is_leaving {
+                scheduler.lose_peer(peer);
                 continue;
             }
-            desk.hear(peer, PeerState { report, passed: 0, region: region.clone(), delay });
+            scheduler.hear(peer, PeerState { report, passed: 0, region: region.clone(), delay });
         }
     }
 }
@@ -519,13 +530,13 @@
     }
 }
 
-fn translate(done: DeskActions, actions: &mut Vec<SteeringAction>) {
+fn translate(done: SchedulerActions, actions: &mut Vec<SteeringAction>) {
     actions.extend(done.into_iter().map(|action| match action {
-        DeskAction::Dispatch { id, endpoint, domain, allowance } => {
+        SchedulerAction::Dispatch { id, endpoint, domain, allowance } => {
             SteeringAction::Dispatch { id, endpoint, domain, allowance }
         }
-        DeskAction::PassOn { id, peer } => SteeringAction::PassOn { id, peer },
-        DeskAction::Refuse { id, refusal } => SteeringAction::Refuse { id, refusal },
-        DeskAction::CloseIdle(address) => SteeringAction::CloseIdle(address),
+        SchedulerAction::PassOn { id, peer } => SteeringAction::PassOn { id, peer },
+        SchedulerAction::Refuse { id, refusal } => SteeringAction::Refuse { id, refusal },
+        SchedulerAction::CloseIdle(address) => SteeringAction::CloseIdle(address),
     }));
 }
--- a/crates/jackdawmux_policy/src/ticket.rs
+++ b/crates/jackdawmux_policy/src/ticket.rs
@@ -110,14 +110,14 @@
     }
 }
 
-/// What a leaving home passes on, after it has stopped: enough for one heir to verify its tickets
+/// What a leaving home passes on, after it has stopped: enough for one successor to verify its tickets
 /// and to know which of them it must not run.
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TicketEstate {
+pub struct TicketHandover {
     /// The process that issued the tickets.
     pub home: IncarnationId,
     /// The only process that may run them from now on.
-    pub heir: IncarnationId,
+    pub successor: IncarnationId,
     /// Secret of the home.
     pub secret: [u8; 32],
     /// The home's clock when it stopped.
@@ -126,29 +126,33 @@
     pub begun: Vec<KeyDigest>,
 }
 
-impl fmt::Debug for TicketEstate {
+impl fmt::Debug for TicketHandover {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { home, heir, begun, .. } = self;
-        write!(formatter, "TicketEstate({home} to {heir}, {} begun, secret hidden)", begun.len())
+        let Self { home, successor, begun, .. } = self;
+        write!(
+            formatter,
+            "TicketHandover({home} to {successor}, {} begun, secret hidden)",
+            begun.len()
+        )
     }
 }
 
-/// An estate at its heir.
+/// An handover at its successor.
 #[derive(Debug)]
-pub struct HeldEstate {
+pub struct AdoptedTickets {
     issuer: TicketIssuer,
     stopped_at: PolicyTime,
     received_at: PolicyTime,
     begun: HashSet<KeyDigest>,
 }
 
-impl HeldEstate {
-    /// Takes an estate over at `now`.
+impl AdoptedTickets {
+    /// Takes an handover over at `now`.
     #[must_use]
-    pub fn new(estate: TicketEstate, now: PolicyTime) -> Self {
-        let issuer = TicketIssuer::new(estate.home, estate.secret, Duration::ZERO);
-        let begun = estate.begun.into_iter().collect();
-        Self { issuer, stopped_at: estate.stopped_at, received_at: now, begun }
+    pub fn new(handover: TicketHandover, now: PolicyTime) -> Self {
+        let issuer = TicketIssuer::new(handover.home, handover.secret, Duration::ZERO);
+        let begun = handover.begun.into_iter().collect();
+        Self { issuer, stopped_at: handover.stopped_at, received_at: now, begun }
     }
 
     /// Verifies a ticket of the former home; its expiry is moved to this process's clock.
@@ -162,17 +166,17 @@
         Ok(HomeTicket { expires, ..ticket })
     }
 
-    /// The same estate for the next heir, when this process leaves in turn.
+    /// The same handover for the next successor, when this process leaves in turn.
     #[must_use]
     pub fn pass_to(
         &self,
-        heir: IncarnationId,
+        successor: IncarnationId,
         now: PolicyTime,
         begun_here: &[KeyDigest],
-    ) -> TicketEstate {
-        TicketEstate {
+    ) -> TicketHandover {
+        TicketHandover {
             home: self.issuer.home,
-            heir,
+            successor,
             secret: self.issuer.secret,
             stopped_at: self.stopped_at + now.since(self.received_at),
             begun: self.begun.iter().chain(begun_here).copied().collect(),
--- a/crates/jackdawmux_policy/tests/fleet.rs
+++ b/crates/jackdawmux_policy/tests/fleet.rs
@@ -12,7 +12,7 @@
     fleet.run_calm(20_000);
     assert!(!fleet.events.iter().any(|event| event.contains("bid-opened")), "{:#?}", fleet.events);
     let owned: usize =
-        fleet.nodes.iter().map(|node| node.desks()["ledger"].endpoints().len()).sum();
+        fleet.nodes.iter().map(|node| node.schedulers()["ledger"].endpoints().len()).sum();
     assert_eq!(owned, 30);
 }
 
@@ -24,7 +24,7 @@
     fleet.run_calm(12_000);
     let living = (0..7).filter(|node| *node != 2);
     let owned: usize =
-        living.map(|node| fleet.nodes[node].desks()["ledger"].endpoints().len()).sum();
+        living.map(|node| fleet.nodes[node].schedulers()["ledger"].endpoints().len()).sum();
     assert_eq!(owned, 30, "{:#?}", fleet.events);
     let now = fleet.clock(0);
     fleet.arrive(0, request(1, now, Duration::from_secs(1)));
--- a/crates/jackdawmux_policy/tests/lease_model.rs
+++ b/crates/jackdawmux_policy/tests/lease_model.rs
@@ -15,7 +15,7 @@
 use jackdawmux_policy::clock::PolicyTime;
 use jackdawmux_policy::identity::IncarnationId;
 use jackdawmux_policy::lease::{
-    LeaseCommittee, LeaseHolder, LeaseSettings, PromiseGiver, TakeoverBid, VowAnswer,
+    LeaseCommittee, LeaseHolder, LeaseSettings, PromiseGiver, TakeoverBid, VoteAnswer,
 };
 
 const HOLDER: IncarnationId = IncarnationId(100);
@@ -188,9 +188,9 @@
                     let version = bid.version;
                     with(&|world| {
                         let now = world.clock();
-                        if world.givers[giver].vow(now, HOLDER, version) == VowAnswer::Vowed {
+                        if world.givers[giver].vote(now, HOLDER, version) == VoteAnswer::Voted {
                             world.bid.iter_mut().for_each(|bid| {
-                                bid.vowed(IncarnationId(giver as u64), version);
+                                bid.voted(IncarnationId(giver as u64), version);
                             });
                         }
                     });
--- a/crates/jackdawmux_policy/tests/parts.rs
+++ b/crates/jackdawmux_policy/tests/parts.rs
@@ -9,7 +9,7 @@
 use jackdawmux_policy::clock::PolicyTime;
 use jackdawmux_policy::hlc::{HybridClock, HybridStamp};
 use jackdawmux_policy::identity::IncarnationId;
-use jackdawmux_policy::lease::{promises_needed, vows_needed};
+use jackdawmux_policy::lease::{promises_needed, votes_needed};
 use jackdawmux_policy::poison::{PoisonSettings, SuspectLevel, SuspectList};
 use jackdawmux_policy::retry::RetryBudget;
 use jackdawmux_policy::shift::{FRACTION_WHOLE, ShiftCounter, ShiftPlan};
@@ -92,8 +92,8 @@
 
     #[test]
     fn every_holder_and_taker_share_a_committee_member(size in 0_usize..20) {
-        if let Some(vows) = vows_needed(size) {
-            assert!(promises_needed(size) + vows > size);
+        if let Some(votes) = votes_needed(size) {
+            assert!(promises_needed(size) + votes > size);
         }
     }
 }
--- a/crates/jackdawmux_policy/tests/slots.rs
+++ b/crates/jackdawmux_policy/tests/slots.rs
@@ -100,7 +100,7 @@
             72..80 => self.pass_time(),
             80..88 => {
                 let node = self.node();
-                self.fleet.pulse(node);
+                self.fleet.heartbeat(node);
             }
             88..91 => {
                 let node = self.node();
@@ -111,7 +111,7 @@
             96..97 => self.kill_some(),
             97..98 => self.fail_store(),
             98..99 => self.cut_some(),
-            _ => self.pulse_all(),
+            _ => self.beat_all(),
         }
         self.fleet.end_overdue();
         self.assert_bound();
@@ -256,10 +256,10 @@
         }
     }
 
-    fn pulse_all(&mut self) {
+    fn beat_all(&mut self) {
         for node in 0..self.fleet.nodes.len() {
             self.fleet.show_store(node, false);
-            self.fleet.pulse(node);
+            self.fleet.heartbeat(node);
         }
     }
 
--- a/crates/jackdawmux_policy/tests/support/mod.rs
+++ b/crates/jackdawmux_policy/tests/support/mod.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use jackdawmux_policy::clock::PolicyTime;
-use jackdawmux_policy::desk::SlotRequest;
 use jackdawmux_policy::endpoint::ExchangeResult;
 use jackdawmux_policy::group::{GroupMember, GroupView};
 use jackdawmux_policy::identity::{IncarnationId, RequestId};
 use jackdawmux_policy::lease::LeaseCommittee;
 use jackdawmux_policy::message::SteeringMessage;
+use jackdawmux_policy::scheduler::SlotRequest;
 use jackdawmux_policy::steering::{InstanceSteering, SteeringAction, SteeringSettings};
 use jackdawmux_policy::table::{
     EndpointSpec, OperationSpec, RegionSpec, RepeatRule, RequestPriority, RouteTable, ServiceSpec,
@@ -283,10 +283,10 @@
         }
     }
 
-    pub fn pulse(&mut self, node: usize) {
+    pub fn heartbeat(&mut self, node: usize) {
         if self.is_running(node) {
             let now = self.clock(node);
-            let actions = self.nodes[node].pulse(now);
+            let actions = self.nodes[node].heartbeat(now);
             self.carry_out(node, actions);
         }
     }
@@ -340,7 +340,7 @@
             self.end_overdue();
             for node in 0..self.nodes.len() {
                 self.show_store(node, false);
-                self.pulse(node);
+                self.heartbeat(node);
             }
             self.settle();
         }
--- a/crates/jackdawmux_standins/examples/demo.rs
+++ b/crates/jackdawmux_standins/examples/demo.rs
@@ -124,7 +124,7 @@
         }
     }
     println!("in force at {} entries after {} ms", entries.len(), begun.elapsed().as_millis());
-    // Endpoints are claimed and leases gathered within a few pulses.
+    // Endpoints are claimed and leases gathered within a few heartbeats.
     tokio::time::sleep(Duration::from_secs(2)).await;
 }
 
--- a/crates/jackdawmux_standins/src/experiment/fleet.rs
+++ b/crates/jackdawmux_standins/src/experiment/fleet.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use jackdawmux_policy::clock::PolicyTime;
-use jackdawmux_policy::desk::SlotRequest;
 use jackdawmux_policy::endpoint::ExchangeResult;
 use jackdawmux_policy::group::{GroupMember, GroupView};
 use jackdawmux_policy::identity::{IncarnationId, RequestId};
 use jackdawmux_policy::lease::LeaseCommittee;
 use jackdawmux_policy::message::{ServiceReport, SteeringMessage};
+use jackdawmux_policy::scheduler::SlotRequest;
 use jackdawmux_policy::steering::{InstanceSteering, SteeringAction, SteeringSettings};
 use jackdawmux_policy::table::{RequestPriority, RouteTable};
 use jackdawmux_rules::parse_rules;
@@ -20,8 +20,8 @@
 use super::model::ExperimentModel;
 use super::world::{AnswerEnd, PolicyStep, SteeringPolicy};
 
-/// Time between pulses, in microseconds.
-const PULSE_US: u64 = 200_000;
+/// Time between heartbeats, in microseconds.
+const HEARTBEAT_US: u64 = 200_000;
 /// Time of a store call, in microseconds.
 const STORE_US: u64 = 5_000;
 /// Time allowed for a request, in microseconds.
@@ -31,7 +31,7 @@
 
 #[derive(Debug)]
 enum Pending {
-    Pulse(usize),
+    Heartbeat(usize),
     Message {
         from: usize,
         to: IncarnationId,
@@ -317,8 +317,8 @@
             let actions = steering.put_in_force(Self::time(0), 1, Arc::clone(&table));
             self.nodes.push(steering);
             steps.extend(self.carry_out(0, node, actions));
-            let offset = node as u64 * PULSE_US / count as u64;
-            steps.push(self.later(offset, Pending::Pulse(node)));
+            let offset = node as u64 * HEARTBEAT_US / count as u64;
+            steps.push(self.later(offset, Pending::Heartbeat(node)));
         }
         steps
     }
@@ -400,14 +400,14 @@
             Some(Pending::Back { request, from, is_refused, report }) => {
                 self.take_back(now, request, from, is_refused, report)
             }
-            Some(Pending::Pulse(node)) => {
+            Some(Pending::Heartbeat(node)) => {
                 if self.is_dead[node] {
                     return Vec::new();
                 }
                 let mut steps = self.show_store(now, node, false);
-                let actions = self.nodes[node].pulse(Self::time(now));
+                let actions = self.nodes[node].heartbeat(Self::time(now));
                 steps.extend(self.carry_out(now, node, actions));
-                steps.push(self.later(PULSE_US, Pending::Pulse(node)));
+                steps.push(self.later(HEARTBEAT_US, Pending::Heartbeat(node)));
                 steps
             }
             Some(Pending::Message { from, to, message }) => {
