--- a/crates/jackdawmux_entry/src/request/claims.rs
+++ b/crates/jackdawmux_entry/src/request/claims.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use jackdawmux_platform::{ObjectStore, UpdateOutcome};
@@ -11,6 +12,7 @@
 use jackdawmux_policy::identity::IncarnationId;
 use jackdawmux_policy::once::KeyDigest;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep_until};
 
 use super::register::KEY_RETENTION;
 use crate::process::ProcessClock;
@@ -25,9 +27,17 @@
     claim_limit: 20_000,
     batch_limit: 1_000,
 };
+/// Least time between two updates of one shard: 64 shards stay under the store's several hundred
+/// writes a second, and claims that wait share an update.
+const UPDATE_GAP: Duration = Duration::from_millis(150);
 /// Wishes that wait for one shard's task.
 const WISH_LIMIT: usize = 4_096;
 
+/// The shard that a key falls into.
+pub(crate) const fn shard_of(key: KeyDigest) -> u16 {
+    u16::from_be_bytes([key.0[0], key.0[1]]) % SHARD_COUNT
+}
+
 struct ClaimWish {
     key: KeyDigest,
     decided: oneshot::Sender<ClaimVerdict>,
@@ -53,7 +63,7 @@
         key: KeyDigest,
     ) -> oneshot::Receiver<ClaimVerdict> {
         let (decided, verdict) = oneshot::channel();
-        let shard = u16::from_be_bytes([key.0[0], key.0[1]]) % SHARD_COUNT;
+        let shard = shard_of(key);
         let mut shards = self.shards.lock().unwrap_or_else(PoisonError::into_inner);
         let queue = shards.entry(shard).or_insert_with(|| {
             let (sender, wishes) = mpsc::channel(WISH_LIMIT);
@@ -63,6 +73,7 @@
                 key: format!("claims/{shard}"),
                 writer: ClaimWriter::new(self.own),
                 waiting: HashMap::new(),
+                next_update: Instant::now(),
             };
             tokio::spawn(task.run(wishes));
             sender
@@ -79,6 +90,7 @@
     key: String,
     writer: ClaimWriter,
     waiting: HashMap<KeyDigest, Vec<oneshot::Sender<ClaimVerdict>>>,
+    next_update: Instant,
 }
 
 impl ShardTask {
@@ -135,9 +147,13 @@
         call
     }
 
-    async fn call(&self, action: ClaimAction) -> ClaimReply {
+    async fn call(&mut self, action: ClaimAction) -> ClaimReply {
         match action {
-            ClaimAction::Write { expected, content } => self.write(expected, &content).await,
+            ClaimAction::Write { expected, content } => {
+                sleep_until(self.next_update).await;
+                self.next_update = Instant::now() + UPDATE_GAP;
+                self.write(expected, &content).await
+            }
             ClaimAction::Read | ClaimAction::Decide(..) => self.read().await,
         }
     }
--- a/crates/jackdawmux_entry/src/request/once.rs
+++ b/crates/jackdawmux_entry/src/request/once.rs
@@ -16,6 +16,7 @@
 
 use super::answer::FinalAnswer;
 use super::body::RequestBody;
+use super::claims::shard_of;
 use super::forward::forward;
 use super::pass_on::{PassEnd, PassReason, pass_on};
 use super::plan::RequestPlan;
@@ -60,10 +61,11 @@
     Refused,
 }
 
-/// The instance that callers' own keys prefer, by rendezvous hashing over usable instances.
+/// The instance that a caller's own key prefers: the same for all keys of a shard, by rendezvous
+/// hashing over usable instances, so that a shard's updates come from one place.
 #[must_use]
 pub fn home_of_key(directory: &EntryDirectory, key: KeyDigest) -> Option<&DirectoryEntry> {
-    let hash = stable_hash(&key.0);
+    let hash = stable_hash(&shard_of(key).to_be_bytes());
     directory
         .entries
         .iter()
--- a/crates/jackdawmux_entry/tests/failures.rs
+++ b/crates/jackdawmux_entry/tests/failures.rs
@@ -311,3 +311,24 @@
     }
     served
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_start_together_without_the_store_serve_once_it_is_back() {
+    let none = SystemSize { entries: 0, ..SIZE };
+    let mut system = TestSystem::start_bare("all-at-once", none);
+    system.store_faults("{\"is_down\":true}").await;
+    for index in 0..4 {
+        let entry = system.spawn_entry(index, &[]);
+        system.entries.push(entry);
+    }
+    for entry in 0..4 {
+        let (status, outcome, body) = system.get(entry, "/ledger/balance").await;
+        assert_eq!((status, outcome.as_str()), (503, "not-run"), "{body}");
+        assert!(body.contains("no-configuration"), "{body}");
+    }
+    system.store_faults("{}").await;
+    system.accept(&system.rules(SIZE), &[]);
+    system.wait_settled(SIZE.endpoints).await;
+    let (status, outcome, _) = system.get(0, "/ledger/balance").await;
+    assert_eq!((status, outcome.as_str()), (200, "ran"));
+}
--- a/crates/jackdawmux_standins/examples/measure.rs
+++ b/crates/jackdawmux_standins/examples/measure.rs
@@ -11,6 +11,7 @@
 use bpaf::Parser;
 use hdrhistogram::Histogram;
 use jackdawmux_platform::{AcceptOutcome, AcceptRequest, HttpStore, accept_rules};
+use jackdawmux_standins::caller::{CallerSettings, KeySource, OperationLoad, run_load};
 use jackdawmux_standins::deployment::KOREA;
 use jackdawmux_standins::store::StoreStandin;
 use jackdawmux_standins::upstream::{UpstreamSettings, UpstreamStandin};
@@ -32,6 +33,8 @@
     seconds: u64,
     rate: u64,
     fleet: Vec<usize>,
+    kill: bool,
+    percent: f64,
 }
 
 struct EntryChild {
@@ -100,7 +103,14 @@
         .help("Measure control at this many entries instead; may repeat")
         .argument::<usize>("COUNT")
         .many();
-    bpaf::construct!(MeasureOptions { binary, seconds, rate, fleet })
+    let kill = bpaf::long("kill")
+        .help("Measure what a kill of one of seven entries costs instead, with each kind of key")
+        .switch();
+    let percent = bpaf::long("load")
+        .help("Load for --kill, in percent of the slots' capacity")
+        .argument::<f64>("PERCENT")
+        .fallback(50.0);
+    bpaf::construct!(MeasureOptions { binary, seconds, rate, fleet, kill, percent })
         .to_options()
         .descr("Measures entry processes over loopback")
         .run()
@@ -113,6 +123,14 @@
 #[tokio::main]
 async fn main() -> Result<(), AnyError> {
     let options = options();
+    if options.kill {
+        for keys in [KeySource::Tickets, KeySource::Own] {
+            for kills in [false, true] {
+                measure_kill(&options, keys, kills).await?;
+            }
+        }
+        return Ok(());
+    }
     if options.fleet.is_empty() {
         return measure_one(&options).await;
     }
@@ -342,3 +360,85 @@
     );
     Ok(())
 }
+
+/// Entries of today's deployments.
+const ENTRIES_TODAY: usize = 7;
+
+/// Runs the ledger's load over seven entries and kills one in the middle.
+async fn measure_kill(
+    options: &MeasureOptions,
+    keys: KeySource,
+    kills: bool,
+) -> Result<(), AnyError> {
+    let store = StoreStandin::bind(any_port(), None).await?;
+    let size = KOREA.services[0];
+    let mut upstreams = Vec::new();
+    for index in 0..size.endpoints {
+        let settings = UpstreamSettings {
+            slots: size.slots,
+            service_ms: size.service_ms,
+            is_varied: true,
+            ..UpstreamSettings::default()
+        };
+        let seed = u64::try_from(index)?;
+        upstreams.push(UpstreamStandin::bind(any_port(), settings, seed).await?);
+    }
+    let addresses = upstreams.iter().map(|upstream| upstream.address).collect();
+    let rules = KOREA.rules(&[addresses, Vec::new()]);
+    let rules: Vec<&str> = rules.lines().filter(|line| !line.contains("photos")).collect();
+    accept(&store, &rules.join("\n")).await?;
+    let mut entries = Vec::new();
+    for index in 0..ENTRIES_TODAY {
+        let domain = KOREA.domain_of(index);
+        entries.push(EntryChild::spawn(&options.binary, &store.url(), index, &domain)?);
+    }
+    let client = Client::builder().no_proxy().tcp_nodelay(true).build()?;
+    wait_version(&client, &entries, 1).await;
+    sleep(Duration::from_secs(3)).await;
+    let capacity = f64::from(KOREA.total_slots(size.name)) * 1e3 / size.service_ms;
+    let loads = KOREA.mix.iter().filter(|operation| operation.service == size.name);
+    let settings = CallerSettings {
+        entries: entries.iter().map(|entry| entry.address).collect(),
+        loads: loads
+            .map(|operation| OperationLoad {
+                operation: *operation,
+                rate: capacity * options.percent / 100.0 * f64::from(operation.share_percent)
+                    / 100.0,
+            })
+            .collect(),
+        duration: Duration::from_secs(options.seconds),
+        seed: 1,
+        keys,
+        is_skewed: false,
+    };
+    let before = store.counts();
+    let load = tokio::spawn(async move { run_load(&settings).await });
+    sleep(Duration::from_secs(options.seconds) / 2).await;
+    if kills {
+        drop(entries.remove(3));
+    }
+    let report = load.await??;
+    let after = store.counts();
+    let once: u64 = report
+        .operations
+        .iter()
+        .filter(|(name, _)| name.starts_with("POST"))
+        .map(|(_, operation)| operation.total())
+        .sum();
+    let counts: Vec<_> = upstreams.iter().map(UpstreamStandin::counts).collect();
+    let doubled = counts.iter().flat_map(|count| count.runs_by_key.values());
+    let doubled = doubled.filter(|runs| **runs > 1).count();
+    let overloads: u64 = counts.iter().map(|count| count.overloads).sum();
+    println!(
+        "\nkeys: {keys:?}, load {} %, one of {ENTRIES_TODAY} killed: {kills}",
+        options.percent
+    );
+    print!("{}", report.table());
+    println!(
+        "doubled={doubled} overloads={overloads} store: {:.3} updates and {:.3} conflicts and {:.3} reads for each request that runs once",
+        (after.writes - before.writes) as f64 / once.max(1) as f64,
+        (after.conflicts - before.conflicts) as f64 / once.max(1) as f64,
+        (after.reads - before.reads) as f64 / once.max(1) as f64
+    );
+    Ok(())
+}
--- a/crates/jackdawmux_standins/src/caller.rs
+++ b/crates/jackdawmux_standins/src/caller.rs
@@ -20,6 +20,10 @@
 
 /// Longest wait for an answer.
 const ANSWER_LONGEST: Duration = Duration::from_secs(10);
+/// Entries tried for one request.
+const ENTRY_TRIES: usize = 4;
+/// Time for which an entry that refused a connection is left out.
+const REFUSING_TIME: Duration = Duration::from_secs(2);
 /// Tickets fetched at once.
 const TICKET_BATCH: usize = 100;
 /// Share of first-named entries that the skewed half of callers prefers, in percent.
@@ -80,6 +84,8 @@
 struct CallerCache {
     named: HashMap<(SocketAddr, &'static str), (Instant, Vec<SocketAddr>)>,
     tickets: HashMap<(SocketAddr, &'static str), Vec<String>>,
+    /// Entries that refused a connection, until when they are left out.
+    refusing: HashMap<SocketAddr, Instant>,
 }
 
 #[derive(Debug)]
@@ -160,29 +166,40 @@
     }
 
     async fn outcome(&self, operation: OperationMix, choice: usize, own: String) -> String {
-        let Some(entry) = self.entry_for(operation.service, choice).await else {
-            return "error".to_owned();
-        };
-        let key = match (operation.is_once, self.keys) {
-            (false, _) => None,
-            (true, KeySource::Own) => Some(own),
-            (true, KeySource::Tickets) => match self.ticket(entry, operation.service).await {
-                Some(ticket) => Some(ticket),
-                None => return "error".to_owned(),
-            },
-        };
-        let request = self.build(entry, operation, key.as_deref());
-        match request.send().await {
-            Ok(response) => {
-                let outcome = response.headers().get("jackdaw-outcome").cloned();
-                let is_whole = response.bytes().await.is_ok();
-                match outcome.as_ref().and_then(|value| value.to_str().ok()) {
-                    Some(outcome) if is_whole => outcome.to_owned(),
-                    Some(_) | None => "error".to_owned(),
-                }
+        for _ in 0..ENTRY_TRIES {
+            let Some(entry) = self.entry_for(operation.service, choice).await else {
+                continue;
+            };
+            let key = match (operation.is_once, self.keys) {
+                (false, _) => None,
+                (true, KeySource::Own) => Some(own.clone()),
+                (true, KeySource::Tickets) => match self.ticket(entry, operation.service).await {
+                    Some(ticket) => Some(ticket),
+                    None => {
+                        self.leave_out(entry);
+                        continue;
+                    }
+                },
+            };
+            match self.build(entry, operation, key.as_deref()).send().await {
+                Ok(response) => return read_outcome(response).await,
+                // A refused connection has sent nothing: the next entry may be used.
+                Err(error) if error.is_connect() => self.leave_out(entry),
+                Err(_) => return "error".to_owned(),
             }
-            Err(_) => "error".to_owned(),
         }
+        "error".to_owned()
+    }
+
+    fn leave_out(&self, entry: SocketAddr) {
+        let until = Instant::now() + REFUSING_TIME;
+        let mut cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
+        cache.refusing.insert(entry, until);
+    }
+
+    fn is_left_out(&self, entry: SocketAddr) -> bool {
+        let cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
+        cache.refusing.get(&entry).is_some_and(|until| Instant::now() < *until)
     }
 
     fn build(
@@ -210,6 +227,9 @@
             if let Some(named) = self.cached(asked, service) {
                 return Some(named);
             }
+            if self.is_left_out(asked) {
+                continue;
+            }
             let url = format!("http://{asked}/v1/entries?service={service}");
             let Ok(response) = self.client.get(url).send().await else {
                 continue;
@@ -238,7 +258,10 @@
     fn cached(&self, asked: SocketAddr, service: &'static str) -> Option<SocketAddr> {
         let cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
         let (until, named) = cache.named.get(&(asked, service))?;
-        (Instant::now() < *until).then(|| named.first().copied()).flatten()
+        let now = Instant::now();
+        let is_open =
+            |entry: &&SocketAddr| cache.refusing.get(entry).is_none_or(|until| *until <= now);
+        (now < *until).then(|| named.iter().find(is_open).copied()).flatten()
     }
 
     async fn ticket(&self, entry: SocketAddr, service: &'static str) -> Option<String> {
@@ -257,3 +280,12 @@
         ticket
     }
 }
+
+async fn read_outcome(response: reqwest::Response) -> String {
+    let outcome = response.headers().get("jackdaw-outcome").cloned();
+    let is_whole = response.bytes().await.is_ok();
+    match outcome.as_ref().and_then(|value| value.to_str().ok()) {
+        Some(outcome) if is_whole => outcome.to_owned(),
+        Some(_) | None => "error".to_owned(),
+    }
+}
