Code that nothing calls is gone

Cause: read once more as a whole. The view and the claims settle their own updates, so the general read-edit-write loop (update_with) and ClaimWriter::is_busy were never called.

--- a/crates/jackdawmux_platform/src/lib.rs
+++ b/crates/jackdawmux_platform/src/lib.rs
@@ -15,4 +15,4 @@
 };
 pub use error::PlatformError;
 pub use http::HttpStore;
-pub use store::{ObjectStore, StoreFuture, StoredObject, UpdateOutcome, update_with};
+pub use store::{ObjectStore, StoreFuture, StoredObject, UpdateOutcome};
--- a/crates/jackdawmux_platform/src/store.rs
+++ b/crates/jackdawmux_platform/src/store.rs
@@ -56,38 +56,3 @@
         content: Bytes,
     ) -> StoreFuture<'call, UpdateOutcome>;
 }
-
-/// Tries of [`update_with`] before it gives up.
-const UPDATE_TRIES: usize = 16;
-
-/// Reads an object, edits it and writes it back until the update is certain.
-///
-/// `edit` returns the new content, or `None` when the object already is as wanted. An update of
-/// unknown outcome is settled by the next round: if it took effect, `edit` finds nothing to do;
-/// if it did not, the next conditional update on the same version either takes effect or finds
-/// that the first one did.
-///
-/// # Errors
-/// The last error when the store did not answer, or `None` after too many conflicts.
-pub async fn update_with(
-    store: &dyn ObjectStore,
-    key: &str,
-    mut edit: impl FnMut(Option<&StoredObject>) -> Option<Bytes> + Send,
-) -> Result<Option<StoredObject>, Option<PlatformError>> {
-    let mut last_error = None;
-    for _ in 0..UPDATE_TRIES {
-        let current = store.read(key).await.map_err(Some)?;
-        let expected = current.as_ref().map_or(0, |object| object.version);
-        let Some(content) = edit(current.as_ref()) else {
-            return Ok(current);
-        };
-        match store.update(key, expected, content.clone()).await {
-            UpdateOutcome::Done(version) => return Ok(Some(StoredObject { version, content })),
-            UpdateOutcome::Conflict => {}
-            UpdateOutcome::NotDone(error) | UpdateOutcome::Unknown(error) => {
-                last_error = Some(error);
-            }
-        }
-    }
-    Err(last_error)
-}
--- a/crates/jackdawmux_policy/src/claim.rs
+++ b/crates/jackdawmux_policy/src/claim.rs
@@ -111,12 +111,6 @@
         Self { own, phase: WriterPhase::Idle, known: None, wishes: Vec::new() }
     }
 
-    /// Whether a store call is out or wishes wait.
-    #[must_use]
-    pub fn is_busy(&self) -> bool {
-        self.phase != WriterPhase::Idle || !self.wishes.is_empty()
-    }
-
     /// Wishes to claim `key`.
     pub fn wish(&mut self, settings: &ClaimSettings, now_ms: u64, key: KeyDigest) -> ClaimActions {
         self.note(key);
