--- a/crates/jackdawmux_entry/src/process/launch.rs
+++ b/crates/jackdawmux_entry/src/process/launch.rs
@@ -78,7 +78,7 @@
             return ExitCode::from(2);
         }
     };
-    let runtime = match tokio::runtime::Runtime::new() {
+    let runtime = match build_runtime(settings.threads) {
         Ok(runtime) => runtime,
         Err(error) => {
             log::error!("event=start-failed step=runtime error={error}");
@@ -88,6 +88,19 @@
     runtime.block_on(run_until_signal(settings))
 }
 
+/// One thread needs no wake-ups between threads, which is most of what a short request costs.
+fn build_runtime(threads: usize) -> std::io::Result<tokio::runtime::Runtime> {
+    let mut builder = if threads == 1 {
+        tokio::runtime::Builder::new_current_thread()
+    } else {
+        tokio::runtime::Builder::new_multi_thread()
+    };
+    if threads > 1 {
+        builder.worker_threads(threads);
+    }
+    builder.enable_all().build()
+}
+
 async fn run_until_signal(settings: EntrySettings) -> ExitCode {
     let process = match EntryProcess::open(settings).await {
         Ok(process) => process,
--- a/crates/jackdawmux_entry/src/process/settings.rs
+++ b/crates/jackdawmux_entry/src/process/settings.rs
@@ -30,6 +30,7 @@
     lease_ms: u64,
     max_connections: usize,
     max_body_mb: u64,
+    threads: usize,
 }
 
 /// Checked settings of one instance.
@@ -59,6 +60,8 @@
     pub max_connections: usize,
     /// Largest request body, in bytes.
     pub max_body_bytes: u64,
+    /// Threads that serve requests.
+    pub threads: usize,
 }
 
 /// One setting that cannot be used.
@@ -140,6 +143,12 @@
         .argument::<u64>("MB")
         .fallback(64)
         .display_fallback();
+    let threads = long("threads")
+        .env("JACKDAWMUX_THREADS")
+        .help("Threads that serve requests; one is the least processor time for each request")
+        .argument::<usize>("COUNT")
+        .fallback(1)
+        .display_fallback();
     construct!(RawSettings {
         store,
         listen,
@@ -153,6 +162,7 @@
         lease_ms,
         max_connections,
         max_body_mb,
+        threads,
     })
     .to_options()
     .descr("jackdawmux: an entry instance of the traffic steering system")
@@ -213,6 +223,8 @@
     let most = 1..=u64::try_from(CONNECTIONS_MOST).unwrap_or(u64::MAX);
     range("--max-connections", "JACKDAWMUX_MAX_CONNECTIONS", connections, most);
     range("--max-body-mb", "JACKDAWMUX_MAX_BODY_MB", raw.max_body_mb, 1..=4_096);
+    let threads = u64::try_from(raw.threads).unwrap_or(u64::MAX);
+    range("--threads", "JACKDAWMUX_THREADS", threads, 1..=256);
     if !mistakes.is_empty() {
         return Err(mistakes);
     }
@@ -229,6 +241,7 @@
         lease: Duration::from_millis(raw.lease_ms),
         max_connections: raw.max_connections,
         max_body_bytes: raw.max_body_mb * 1_000_000,
+        threads: raw.threads,
     })
 }
 
--- a/crates/jackdawmux_policy/src/lease.rs
+++ b/crates/jackdawmux_policy/src/lease.rs
@@ -104,6 +104,14 @@
         self.candidate != self.committee && now < self.committee_until(&self.candidate)
     }
 
+    /// Whether it is time to ask for promises again: the lease has run down by a quarter, or a
+    /// proposed committee has yet to promise.
+    #[must_use]
+    pub fn is_renewal_due(&self, now: PolicyTime) -> bool {
+        let span = self.settings.promise_ttl;
+        self.candidate != self.committee || self.valid_until() < now + span * 3 / 4
+    }
+
     /// An update that stores the proposed committee is about to be sent, built on version
     /// `base`. Until it is settled, both committees must promise.
     pub fn begin_change(&mut self, base: u64) {
--- a/crates/jackdawmux_policy/src/membership.rs
+++ b/crates/jackdawmux_policy/src/membership.rs
@@ -7,6 +7,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
+use smallvec::SmallVec;
 use strum::Display;
 
 use crate::clock::PolicyTime;
@@ -16,8 +17,12 @@
 use crate::message::SteeringMessage;
 use crate::table::RouteTable;
 
-/// Silence after which a peer is no longer named to callers or asked for slots.
-pub const PEER_SILENCE: Duration = Duration::from_millis(1_200);
+/// Silence after which a peer of a small group is no longer named to callers or passed requests.
+const PEER_SILENCE: Duration = Duration::from_millis(1_200);
+/// Silence added for each further round that a pulse to the whole group takes.
+const ROUND_SILENCE: Duration = Duration::from_millis(400);
+/// Peers that each pulse goes to; a larger group is covered in rounds.
+pub const PULSE_FANOUT: usize = 12;
 /// Extra silence for each rank before a takeover is bid for, so that bids rarely collide.
 const BID_STAGGER: Duration = Duration::from_millis(400);
 /// Pause between updates that only raise the view's version to end vows.
@@ -142,7 +147,13 @@
     #[must_use]
     pub fn is_alive(&self, now: PolicyTime, peer: IncarnationId) -> bool {
         peer == self.own.incarnation
-            || self.heard.get(&peer).is_some_and(|heard| now.since(*heard) < PEER_SILENCE)
+            || self.heard.get(&peer).is_some_and(|heard| now.since(*heard) < self.silence())
+    }
+
+    /// Silence after which a peer counts as gone, by the size of the group.
+    fn silence(&self) -> Duration {
+        let rounds = self.view.members.len().div_ceil(PULSE_FANOUT).saturating_sub(1);
+        PEER_SILENCE + ROUND_SILENCE * u32::try_from(rounds).unwrap_or(u32::MAX)
     }
 
     /// Whether callers may be sent to a member: heard of lately and not leaving, by the view or by
@@ -157,7 +168,7 @@
     pub fn living(&self, now: PolicyTime) -> impl Iterator<Item = IncarnationId> + '_ {
         self.heard
             .iter()
-            .filter(move |(_, heard)| now.since(**heard) < PEER_SILENCE)
+            .filter(move |(_, heard)| now.since(**heard) < self.silence())
             .map(|(peer, _)| *peer)
     }
 
@@ -259,7 +270,9 @@
         let mut actions = Vec::new();
         self.note_lease(now, &mut actions);
         self.propose_committee(now);
-        for peer in self.holder.asked() {
+        let asked =
+            if self.holder.is_renewal_due(now) { self.holder.asked() } else { SmallVec::new() };
+        for peer in asked {
             let ask = SteeringMessage::PromiseAsk { asked_at: now, seen: self.version };
             actions.push(MembershipAction::Send(peer, ask));
         }
--- a/crates/jackdawmux_policy/src/steering.rs
+++ b/crates/jackdawmux_policy/src/steering.rs
@@ -14,7 +14,7 @@
 use crate::group::{GroupMember, GroupView, OwnerMove};
 use crate::identity::{IncarnationId, RequestId};
 use crate::lease::LeaseSettings;
-use crate::membership::{GroupMembership, MembershipAction, MembershipEvent};
+use crate::membership::{GroupMembership, MembershipAction, MembershipEvent, PULSE_FANOUT};
 use crate::message::{InstancePulse, ServiceReport, SteeringMessage};
 use crate::outcome::{RefusalReason, RequestRefusal};
 use crate::table::{RouteTable, ServiceSpec};
@@ -102,6 +102,7 @@
     desks: BTreeMap<String, ServiceDesk>,
     identities: BTreeMap<IncarnationId, String>,
     releasing: Vec<OwnerMove>,
+    next_pulse: usize,
 }
 
 impl InstanceSteering {
@@ -117,6 +118,7 @@
             desks: BTreeMap::new(),
             identities: BTreeMap::new(),
             releasing: Vec::new(),
+            next_pulse: 0,
         }
     }
 
@@ -316,7 +318,7 @@
         self.advance(now, &mut actions);
         let pulse = self.report(now);
         let peers: Vec<_> = self.membership.living(now).collect();
-        for peer in self.known_peers(&peers) {
+        for peer in self.pulse_targets(&peers) {
             actions.push(SteeringAction::Send(peer, SteeringMessage::Pulse(pulse.clone())));
         }
         actions
@@ -431,6 +433,18 @@
         }
     }
 
+    /// The peers whose turn it is; the cost of a pulse does not grow with the group.
+    fn pulse_targets(&mut self, living: &[IncarnationId]) -> Vec<IncarnationId> {
+        let mut peers = self.known_peers(living);
+        if peers.len() > PULSE_FANOUT {
+            let start = self.next_pulse % peers.len();
+            peers.rotate_left(start);
+            peers.truncate(PULSE_FANOUT);
+            self.next_pulse = start + PULSE_FANOUT;
+        }
+        peers
+    }
+
     /// Members of the view and peers that were met on a link.
     fn known_peers(&self, living: &[IncarnationId]) -> Vec<IncarnationId> {
         let own = self.membership.own();
--- a/crates/jackdawmux_standins/examples/demo.rs
+++ b/crates/jackdawmux_standins/examples/demo.rs
@@ -81,6 +81,7 @@
             lease: Duration::from_secs(3),
             max_connections: 10_000,
             max_body_bytes: 64_000_000,
+            threads: 1,
         };
         entries.push(EntryProcess::open(settings).await?);
     }
--- /dev/null
+++ b/crates/jackdawmux_standins/examples/measure.rs
@@ -0,0 +1,344 @@
+//! Measures entry processes over loopback: what the way through an entry adds, look-ups and
+//! requests for each second of processor time, memory, and the cost of control by fleet size.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bpaf::Parser;
+use hdrhistogram::Histogram;
+use jackdawmux_platform::{AcceptOutcome, AcceptRequest, HttpStore, accept_rules};
+use jackdawmux_standins::deployment::KOREA;
+use jackdawmux_standins::store::StoreStandin;
+use jackdawmux_standins::upstream::{UpstreamSettings, UpstreamStandin};
+use reqwest::Client;
+use tokio::task::JoinSet;
+use tokio::time::{interval, sleep};
+
+type AnyError = Box<dyn std::error::Error>;
+
+/// Clock ticks a second in `/proc/PID/stat`.
+const TICKS: f64 = 100.0;
+/// Closed-loop connections for rates.
+const CONNECTIONS: usize = 32;
+/// Connections opened for the memory figure.
+const IDLE_CONNECTIONS: usize = 400;
+
+struct MeasureOptions {
+    binary: PathBuf,
+    seconds: u64,
+    rate: u64,
+    fleet: Vec<usize>,
+}
+
+struct EntryChild {
+    child: Child,
+    address: SocketAddr,
+}
+
+impl Drop for EntryChild {
+    fn drop(&mut self) {
+        if self.child.kill().is_ok() {
+            let _status = self.child.wait();
+        }
+    }
+}
+
+impl EntryChild {
+    fn spawn(binary: &PathBuf, store: &str, index: usize, domain: &str) -> Result<Self, AnyError> {
+        let mut child = Command::new(binary)
+            .args(["--store", store, "--peer-key", "a key only for measuring"])
+            .args(["--instance", &format!("entry-{index}"), "--failure-domain", domain])
+            .env("RUST_LOG", "error")
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()?;
+        let output = child.stdout.take().ok_or("no output")?;
+        let mut line = String::new();
+        BufReader::new(output).read_line(&mut line)?;
+        let word = line.split_whitespace().find_map(|word| word.strip_prefix("address="));
+        Ok(Self { child, address: word.ok_or("no address")?.parse()? })
+    }
+
+    /// Resident memory in megabytes.
+    fn memory(&self) -> f64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let line = text.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or_default();
+        let kilobytes: f64 =
+            line.split_whitespace().nth(1).and_then(|word| word.parse().ok()).unwrap_or(0.0);
+        kilobytes / 1_024.0
+    }
+
+    /// Processor time so far, in seconds.
+    fn processor(&self) -> f64 {
+        let path = format!("/proc/{}/stat", self.child.id());
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let rest = text.rsplit(") ").next().unwrap_or_default();
+        let field = |index: usize| -> f64 {
+            rest.split_whitespace().nth(index).and_then(|word| word.parse().ok()).unwrap_or(0.0)
+        };
+        (field(11) + field(12)) / TICKS
+    }
+}
+
+fn options() -> MeasureOptions {
+    let binary = bpaf::long("binary")
+        .help("The built entry instance")
+        .argument::<PathBuf>("PATH")
+        .fallback("target/release/jackdawmux".into());
+    let seconds =
+        bpaf::long("seconds").help("Length of each part").argument::<u64>("SECONDS").fallback(5);
+    let rate = bpaf::long("rate")
+        .help("Requests a second, each way, for the overhead")
+        .argument::<u64>("RATE")
+        .fallback(1_000);
+    let fleet = bpaf::long("fleet")
+        .help("Measure control at this many entries instead; may repeat")
+        .argument::<usize>("COUNT")
+        .many();
+    bpaf::construct!(MeasureOptions { binary, seconds, rate, fleet })
+        .to_options()
+        .descr("Measures entry processes over loopback")
+        .run()
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+#[tokio::main]
+async fn main() -> Result<(), AnyError> {
+    let options = options();
+    if options.fleet.is_empty() {
+        return measure_one(&options).await;
+    }
+    println!(
+        "{:>7} {:>12} {:>14} {:>10} {:>14} {:>16} {:>12}",
+        "entries",
+        "core %/node",
+        "lo KB/s/node",
+        "MB/node",
+        "accept ms",
+        "store reads/s",
+        "watches/s"
+    );
+    for count in &options.fleet {
+        measure_fleet(&options, *count).await?;
+    }
+    Ok(())
+}
+
+async fn accept(store: &StoreStandin, rules: &str) -> Result<(), AnyError> {
+    let client = HttpStore::open(&store.url(), None)?;
+    let request = AcceptRequest {
+        rules: rules.as_bytes(),
+        by: "measure",
+        note: "",
+        base: None,
+        above: 0,
+        now_ms: 0,
+    };
+    match accept_rules(&client, &request).await {
+        AcceptOutcome::Accepted(_) => Ok(()),
+        other => Err(format!("{other:?}").into()),
+    }
+}
+
+async fn wait_version(client: &Client, entries: &[EntryChild], version: u64) {
+    for entry in entries {
+        let url = format!("http://{}/v1/status", entry.address);
+        loop {
+            let answer = client.get(&url).send().await;
+            let status: serde_json::Value = match answer {
+                Ok(answer) => answer.json().await.unwrap_or_default(),
+                Err(_) => serde_json::Value::Null,
+            };
+            if status["config_version"].as_u64() >= Some(version) {
+                break;
+            }
+            sleep(Duration::from_millis(1)).await;
+        }
+    }
+}
+
+async fn measure_one(options: &MeasureOptions) -> Result<(), AnyError> {
+    let store = StoreStandin::bind(any_port(), None).await?;
+    let settings = UpstreamSettings { slots: 400, service_ms: 1.0, ..UpstreamSettings::default() };
+    let upstream = UpstreamStandin::bind(any_port(), settings, 1).await?;
+    let rules = format!(
+        "region r domains d  # measure: place\n\
+         upstream work {} domain d slots 400 connections 400  # measure: endpoint\n\
+         operation work GET / priority low timeout 5s  # measure: reading\n\
+         operation work POST / priority high once timeout 5s  # measure: writing\n",
+        upstream.address
+    );
+    let entries = vec![EntryChild::spawn(&options.binary, &store.url(), 0, "d")?];
+    let entry = &entries[0];
+    accept(&store, &rules).await?;
+    let client = Client::builder().no_proxy().tcp_nodelay(true).build()?;
+    wait_version(&client, &entries, 1).await;
+    sleep(Duration::from_secs(2)).await;
+    println!("memory at rest: {:.1} MB", entry.memory());
+    let mut idle = Vec::new();
+    for _ in 0..IDLE_CONNECTIONS {
+        idle.push(tokio::net::TcpStream::connect(entry.address).await?);
+    }
+    sleep(Duration::from_millis(500)).await;
+    println!(
+        "memory with {IDLE_CONNECTIONS} idle connections of callers: {:.1} MB",
+        entry.memory()
+    );
+    drop(idle);
+    measure_overhead(options, entry, upstream.address, &client).await;
+    let lookup = format!("http://{}/v1/entries?service=work", entry.address);
+    measure_rate(options, entry, &client, "look-ups", &lookup).await;
+    let request = format!("http://{}/work/read", entry.address);
+    measure_rate(options, entry, &client, "requests", &request).await;
+    println!("memory after the load: {:.1} MB", entry.memory());
+    Ok(())
+}
+
+fn histogram() -> Arc<Mutex<Histogram<u64>>> {
+    let empty = Histogram::new_with_bounds(1, 60_000_000, 3).expect("the bounds are accepted");
+    Arc::new(Mutex::new(empty))
+}
+
+async fn measure_overhead(
+    options: &MeasureOptions,
+    entry: &EntryChild,
+    upstream: SocketAddr,
+    client: &Client,
+) {
+    let ways = [
+        (format!("http://{upstream}/read"), histogram()),
+        (format!("http://{}/work/read", entry.address), histogram()),
+    ];
+    let mut ticks = interval(Duration::from_micros(1_000_000 / (2 * options.rate)));
+    let mut requests = JoinSet::new();
+    let total = 2 * options.rate * options.seconds;
+    for number in 0..total {
+        ticks.tick().await;
+        let (url, latency) = ways[usize::try_from(number % 2).unwrap_or(0)].clone();
+        let client = client.clone();
+        requests.spawn(async move {
+            let begun = Instant::now();
+            let answer = client.get(url).send().await;
+            let is_whole = match answer {
+                Ok(answer) => answer.bytes().await.is_ok(),
+                Err(_) => false,
+            };
+            if is_whole {
+                let micros = u64::try_from(begun.elapsed().as_micros()).unwrap_or(u64::MAX);
+                let mut latency = latency.lock().unwrap_or_else(PoisonError::into_inner);
+                latency.saturating_record(micros.max(1));
+            }
+        });
+        while requests.try_join_next().is_some() {}
+    }
+    while requests.join_next().await.is_some() {}
+    let quantile = |way: usize, quantile: f64| {
+        let latency = ways[way].1.lock().unwrap_or_else(PoisonError::into_inner);
+        latency.value_at_quantile(quantile) as f64
+    };
+    for (name, at) in [("p50", 0.5), ("p99", 0.99)] {
+        let (direct, through) = (quantile(0, at), quantile(1, at));
+        println!(
+            "{name} at {}/s each: direct {direct:.0} us, through an entry {through:.0} us, added {:.0} us",
+            options.rate,
+            through - direct
+        );
+    }
+}
+
+async fn measure_rate(
+    options: &MeasureOptions,
+    entry: &EntryChild,
+    client: &Client,
+    what: &str,
+    url: &str,
+) {
+    let end = Instant::now() + Duration::from_secs(options.seconds);
+    let before = entry.processor();
+    let mut loops = JoinSet::new();
+    for _ in 0..CONNECTIONS {
+        let (client, url) = (client.clone(), url.to_owned());
+        loops.spawn(async move {
+            let mut count = 0_u64;
+            while Instant::now() < end {
+                if let Ok(answer) = client.get(&url).send().await
+                    && answer.status().is_success()
+                    && answer.bytes().await.is_ok()
+                {
+                    count += 1;
+                }
+            }
+            count
+        });
+    }
+    let mut total = 0;
+    while let Some(count) = loops.join_next().await {
+        total += count.unwrap_or(0);
+    }
+    let used = entry.processor() - before;
+    println!(
+        "{what}: {:.0}/s, {:.0} for each second of the entry's processor time",
+        total as f64 / options.seconds as f64,
+        total as f64 / used
+    );
+}
+
+fn loopback_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    let line = text.lines().find(|line| line.trim_start().starts_with("lo:")).unwrap_or_default();
+    line.split_whitespace().nth(1).and_then(|word| word.parse().ok()).unwrap_or(0)
+}
+
+async fn measure_fleet(options: &MeasureOptions, count: usize) -> Result<(), AnyError> {
+    let store = StoreStandin::bind(any_port(), None).await?;
+    let addresses = [0_u16, 1].map(|service| {
+        (0..KOREA.services[usize::from(service)].endpoints)
+            .map(|index| {
+                let port = 10_000 + service * 100 + u16::try_from(index).unwrap_or(0);
+                SocketAddr::from(([127, 0, 0, 2], port))
+            })
+            .collect::<Vec<_>>()
+    });
+    let rules = KOREA.rules(&addresses);
+    accept(&store, &rules).await?;
+    let mut entries = Vec::new();
+    for index in 0..count {
+        entries.push(EntryChild::spawn(
+            &options.binary,
+            &store.url(),
+            index,
+            &KOREA.domain_of(index),
+        )?);
+    }
+    let client = Client::builder().no_proxy().tcp_nodelay(true).build()?;
+    wait_version(&client, &entries, 1).await;
+    // Joins, committees and owners settle.
+    sleep(Duration::from_secs(10)).await;
+    let processor = |entries: &[EntryChild]| entries.iter().map(EntryChild::processor).sum::<f64>();
+    let (used, bytes, counts) = (processor(&entries), loopback_bytes(), store.counts());
+    sleep(Duration::from_secs(options.seconds)).await;
+    let seconds = options.seconds as f64;
+    let nodes = count as f64;
+    let used = (processor(&entries) - used) / seconds / nodes * 100.0;
+    let bytes = (loopback_bytes() - bytes) as f64 / seconds / nodes / 1e3;
+    let after = store.counts();
+    let memory = entries.iter().map(EntryChild::memory).sum::<f64>() / nodes;
+    let begun = Instant::now();
+    accept(&store, &format!("{rules}drain domain honam-b  # measure: a change\n")).await?;
+    wait_version(&client, &entries, 2).await;
+    println!(
+        "{count:>7} {used:>12.2} {bytes:>14.1} {memory:>10.1} {:>14} {:>16.1} {:>12.1}",
+        begun.elapsed().as_millis(),
+        (after.reads - counts.reads) as f64 / seconds,
+        (after.watches - counts.watches) as f64 / seconds
+    );
+    Ok(())
+}
