A fault soak of real front processes; stand-ins of the platform in a package of their own

The soak starts front processes with settings files as the platform writes them, puts loopback proxies on every link, draws faults from a seed and judges from what callers and endpoints saw. Stand-ins of store and endpoints move from platform/tests/support to platform/standins, so that tests and the soak share one copy; an endpoint there refuses requests meant for another one.

--- /dev/null
+++ b/crates/jackdawmux_soak/src/child.rs
@@ -0,0 +1,86 @@
+//! A front as a process of its own.
+
+use std::fs::File;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::time::{Instant, sleep};
+
+/// Pause between looks at a process.
+const LOOK_PAUSE: Duration = Duration::from_millis(10);
+
+/// A running process, killed with its handle.
+#[derive(Debug)]
+pub struct FrontChild {
+    child: Child,
+}
+
+impl FrontChild {
+    /// Starts a front. Its log goes on at the end of `log`.
+    ///
+    /// # Errors
+    /// When the process or its log cannot be opened.
+    pub fn spawn(program: &Path, settings: &Path, log: &PathBuf) -> io::Result<Self> {
+        let log = File::options().create(true).append(true).open(log)?;
+        let child = Command::new(program)
+            .arg("front")
+            .arg("--node-file")
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stderr(Stdio::from(log.try_clone()?))
+            .stdout(Stdio::from(log))
+            .spawn()?;
+        Ok(Self { child })
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    /// When the process is gone.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let pid = pid.ok_or_else(|| io::Error::other("the process id is out of range"))?;
+        Ok(kill_process(pid, signal)?)
+    }
+
+    /// Its exit status, if it has ended.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        match self.child.try_wait() {
+            Ok(status) => status,
+            Err(error) => {
+                log::warn!("event=child-state-unknown error={error:?}");
+                None
+            }
+        }
+    }
+
+    /// Kills it and waits for its end.
+    pub fn kill(&mut self) {
+        // It may have ended already; the wait below collects it either way.
+        let _killed = self.child.kill();
+        if let Err(error) = self.child.wait() {
+            log::warn!("event=child-wait-failed error={error:?}");
+        }
+    }
+
+    /// Waits up to `longest` for its end.
+    pub async fn wait_end(&mut self, longest: Duration) -> bool {
+        let deadline = Instant::now() + longest;
+        while Instant::now() < deadline {
+            if self.ended().is_some() {
+                return true;
+            }
+            sleep(LOOK_PAUSE).await;
+        }
+        false
+    }
+}
+
+impl Drop for FrontChild {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/jackdawmux_soak/src/run.rs
@@ -0,0 +1,210 @@
+//! One run of the soak.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::sleep;
+
+use crate::callers::{CallerLog, SoakCaller};
+use crate::disturbance::DisturbanceView;
+use crate::fleet::SoakFleet;
+use crate::inject::inject;
+use crate::plan::{FaultKind, PlannedFault, draw_plan};
+use crate::record::RequestOutcome;
+use crate::verdict::{RunEvidence, SoakFinding, judge};
+
+/// Time after the last fault until service is due again: a stability window, a look-up's time and
+/// the start of a process.
+const RECOVERY: Duration = Duration::from_secs(5);
+/// Time after that in which service is looked at.
+const CALM_TIME: Duration = Duration::from_secs(2);
+/// Pause between looks at processes that may have ended by themselves.
+const WATCH_PAUSE: Duration = Duration::from_millis(50);
+
+/// Size of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct SoakSize {
+    /// Fronts.
+    pub fronts: usize,
+    /// Endpoints, over two services.
+    pub endpoints: usize,
+    /// Callers.
+    pub callers: usize,
+    /// Time in which faults happen.
+    pub faults_for: Duration,
+}
+
+/// What came of a run.
+#[derive(Debug)]
+pub struct SoakReport {
+    /// Seed.
+    pub seed: u64,
+    /// Faults by kind.
+    pub faults: BTreeMap<String, usize>,
+    /// Requests by status; `cut`, `abandoned` and `unanswered` without one.
+    pub outcomes: BTreeMap<String, usize>,
+    /// Broken promises.
+    pub findings: Vec<SoakFinding>,
+    /// Logs of the fronts, kept when a promise was broken.
+    pub directory: PathBuf,
+}
+
+impl fmt::Display for SoakReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { seed, faults, outcomes, findings, directory } = self;
+        write!(
+            formatter,
+            "seed={seed} outcomes={outcomes:?} faults={faults:?} broken={}",
+            findings.len()
+        )?;
+        for finding in findings {
+            write!(formatter, "\n  promise={} detail={}", finding.promise, finding.detail)?;
+        }
+        if !findings.is_empty() {
+            write!(formatter, "\n  logs={}", directory.display())?;
+        }
+        Ok(())
+    }
+}
+
+/// Runs a fleet of `program` under the faults that a seed draws, and checks the promises.
+///
+/// # Errors
+/// When the fleet cannot be started or a file cannot be written.
+pub async fn run_seed(seed: u64, size: SoakSize, program: &Path) -> io::Result<SoakReport> {
+    let name = format!("jackdawmux-soak-{}-{seed}", std::process::id());
+    let directory = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&directory)?;
+    let fleet = SoakFleet::start(size, program.to_owned(), directory.clone()).await?;
+    let log = Arc::new(CallerLog::default());
+    let plan = draw_plan(&mut ChaCha8Rng::seed_from_u64(seed), size.faults_for);
+    let (end, ending) = watch::channel(false);
+    let mut callers = JoinSet::new();
+    for number in 0..size.callers {
+        let caller = SoakCaller::new(number, seed, Arc::clone(&fleet), Arc::clone(&log));
+        callers.spawn(caller.run(ending.clone()));
+    }
+    let watch = tokio::spawn(watch_processes(Arc::clone(&fleet)));
+    play(&fleet, &plan).await;
+    sleep(RECOVERY).await;
+    let calm_from = Instant::now();
+    sleep(CALM_TIME).await;
+    end.send_replace(true);
+    while callers.join_next().await.is_some() {}
+    stop(watch).await;
+    let findings = check(&fleet, &log, calm_from);
+    let report = SoakReport {
+        seed,
+        faults: count_faults(&plan),
+        outcomes: count_outcomes(&log),
+        findings,
+        directory,
+    };
+    drop(fleet);
+    if report.findings.is_empty() {
+        std::fs::remove_dir_all(&report.directory)?;
+    }
+    Ok(report)
+}
+
+async fn play(fleet: &Arc<SoakFleet>, plan: &[PlannedFault]) {
+    let begun = tokio::time::Instant::now();
+    let mut faults = JoinSet::new();
+    for fault in plan {
+        tokio::time::sleep_until(begun + fault.at).await;
+        faults.spawn(inject(Arc::clone(fleet), *fault));
+    }
+    while let Some(done) = faults.join_next().await {
+        if let Err(error) = done {
+            let text = format!("the soak failed while injecting a fault: {error}");
+            fleet.facts().odd_ends.push(text);
+        }
+    }
+}
+
+/// Notes fronts that end though nobody asked them to, and starts them again.
+async fn watch_processes(fleet: Arc<SoakFleet>) {
+    loop {
+        for index in 0..fleet.fronts.len() {
+            let ended = {
+                let mut slot = fleet.fronts[index].lock();
+                let ended = slot.as_mut().and_then(|child| child.ended());
+                let is_asked = fleet
+                    .facts()
+                    .lives
+                    .iter()
+                    .rfind(|life| life.front == index)
+                    .is_some_and(|life| life.stop_asked.is_some());
+                let ended = ended.filter(|_| !is_asked);
+                if ended.is_some() {
+                    *slot = None;
+                }
+                ended
+            };
+            if let Some(status) = ended {
+                fleet.change_life(index, |life| life.until = Some(Instant::now()));
+                let text = format!("front {index} ended by itself with {status}");
+                fleet.facts().odd_ends.push(text);
+                if let Err(error) = fleet.start_front(index) {
+                    log::error!("event=restart-failed front={index} error={error:?}");
+                }
+            }
+        }
+        sleep(WATCH_PAUSE).await;
+    }
+}
+
+async fn stop(task: JoinHandle<()>) {
+    task.abort();
+    // It was cancelled, which is no news.
+    let _cancelled = task.await;
+}
+
+fn check(fleet: &SoakFleet, log: &CallerLog, calm_from: Instant) -> Vec<SoakFinding> {
+    let spans = fleet.disturbances.spans();
+    let evidence = RunEvidence {
+        requests: &log.requests.lock().expect("no task panicked"),
+        lookups: &log.lookups.lock().expect("no task panicked"),
+        endpoints: &fleet.endpoints.lock().expect("no task panicked"),
+        facts: &fleet.facts(),
+        disturbances: DisturbanceView(&spans),
+        calm_from,
+    };
+    judge(&evidence)
+}
+
+fn count_faults(plan: &[PlannedFault]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for fault in plan {
+        let is_link = matches!(
+            fault.kind,
+            FaultKind::CallerLink | FaultKind::StoreLink | FaultKind::EndpointLink
+        );
+        let name =
+            if is_link { format!("{}-{}", fault.kind, fault.harm) } else { fault.kind.to_string() };
+        *counts.entry(name).or_default() += 1;
+    }
+    counts
+}
+
+fn count_outcomes(log: &CallerLog) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for request in log.requests.lock().expect("no task panicked").iter() {
+        let name = match &request.outcome {
+            RequestOutcome::Answered(answer) => answer.status().to_string(),
+            RequestOutcome::Cut => "cut".to_owned(),
+            RequestOutcome::Abandoned => "abandoned".to_owned(),
+            RequestOutcome::Unanswered => "unanswered".to_owned(),
+        };
+        *counts.entry(name).or_default() += 1;
+    }
+    counts
+}
