--- a/crates/jackdawmux_rules/src/check.rs
+++ b/crates/jackdawmux_rules/src/check.rs
@@ -12,6 +12,8 @@
     regions: HashSet<&'file str>,
     domains: HashSet<&'file str>,
     services: HashSet<&'file str>,
+    /// Services that routes may lead to.
+    routed: HashSet<&'file str>,
     addresses: HashSet<SocketAddr>,
 }
 
@@ -41,6 +43,7 @@
         regions: HashSet::new(),
         domains: HashSet::new(),
         services: HashSet::new(),
+        routed: HashSet::new(),
         addresses: HashSet::new(),
     };
     for rule in &file.lines {
@@ -53,8 +56,13 @@
                 names.services.insert(service);
                 names.addresses.extend(addresses);
             }
+            RuleKind::Service(service) => {
+                names.routed.insert(&service.name);
+            }
             RuleKind::Link { .. }
             | RuleKind::Operation { .. }
+            | RuleKind::Route(_)
+            | RuleKind::Limits(_)
             | RuleKind::Shift(_)
             | RuleKind::DrainUpstream { .. }
             | RuleKind::DrainDomain { .. } => {}
@@ -84,6 +92,14 @@
         RuleKind::Operation { service, method, prefix, .. } => {
             vec![pair(format!("operation `{service} {method} {prefix}`"), method)]
         }
+        RuleKind::Route(route) => vec![
+            pair(format!("route `{}`", route.name), &route.name),
+            pair(format!("route of `{}{}`", route.host, route.prefix), &route.host),
+        ],
+        RuleKind::Service(service) => {
+            vec![pair(format!("service `{}`", service.name), &service.name)]
+        }
+        RuleKind::Limits(_) => vec![pair("limits".to_owned(), "header")],
         RuleKind::Shift(plan) => {
             let key = format!("shift of `{}` from `{}`", plan.service, plan.from);
             vec![pair(key, &plan.service)]
@@ -129,7 +145,15 @@
         }
     };
     match &rule.kind {
-        RuleKind::Region { .. } => {}
+        RuleKind::Region { .. } | RuleKind::Service(_) | RuleKind::Limits(_) => {}
+        RuleKind::Route(route) => {
+            for target in &route.targets {
+                expect(&names.routed, &target.service, "service");
+            }
+            for home in &route.homes {
+                expect(&names.regions, home, "region");
+            }
+        }
         RuleKind::Link { regions, .. } => {
             for region in regions {
                 expect(&names.regions, region, "region");
@@ -188,7 +212,7 @@
         .find(|start| {
             let after = line[start + word.len()..].chars().next();
             let before = line[..*start].chars().next_back();
-            let is_edge = |c: Option<char>| c.is_none_or(|c| c.is_whitespace() || c == ',');
+            let is_edge = |c: Option<char>| c.is_none_or(|c| c.is_whitespace() || ",=".contains(c));
             is_edge(before) && is_edge(after)
         })
         .map_or(0..keyword_end, |start| start..start + word.len())
--- a/crates/jackdawmux_rules/src/lib.rs
+++ b/crates/jackdawmux_rules/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod check;
 mod diagnostic;
+mod fleet;
 mod lexer;
 mod operand;
 mod rule;
@@ -13,6 +14,7 @@
 mod statement;
 
 pub use diagnostic::{RuleDiagnostic, render_diagnostics};
+pub use fleet::FleetRules;
 pub use rule::{RuleKind, RuleLine, RulesFile};
 pub use source::MAX_FILE_BYTES;
 
--- a/crates/jackdawmux_rules/src/operand.rs
+++ b/crates/jackdawmux_rules/src/operand.rs
@@ -3,6 +3,9 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::{Duration, UNIX_EPOCH};
 
+use jackdawmux_policy::fleet::record::RouteTarget;
+use smallvec::SmallVec;
+
 /// Most addresses that one rule may name.
 const RANGE_LIMIT: usize = 4_096;
 
@@ -95,6 +98,64 @@
     Err(OperandError::new(format!("`{text}` is not a bandwidth with its unit"), mend))
 }
 
+/// Reads a number of bytes with its unit.
+pub(crate) fn read_bytes(text: &str) -> Result<u64, OperandError> {
+    let units = [("KiB", 1 << 10), ("MiB", 1 << 20), ("GiB", 1 << 30), ("B", 1)];
+    let read = units.into_iter().find_map(|(unit, scale)| {
+        let number: u64 = text.strip_suffix(unit)?.parse().ok()?;
+        number.checked_mul(scale)
+    });
+    read.filter(|bytes| *bytes > 0).ok_or_else(|| {
+        OperandError::new(
+            format!("`{text}` is not a size with its unit"),
+            "write a whole number with its unit, such as `16KiB`",
+        )
+    })
+}
+
+/// Reads a rate a second.
+pub(crate) fn read_rate(text: &str) -> Result<f64, OperandError> {
+    let number = text.strip_suffix("/s").and_then(|number| number.parse::<f64>().ok());
+    number.filter(|rate| rate.is_finite() && *rate > 0.0).ok_or_else(|| {
+        OperandError::new(
+            format!("`{text}` is not a rate with its unit"),
+            "write a number above zero a second, such as `17/s`",
+        )
+    })
+}
+
+/// Reads names that are separated by single commas.
+pub(crate) fn read_names(text: &str) -> Result<SmallVec<[String; 2]>, OperandError> {
+    let names: SmallVec<[String; 2]> = text.split(',').map(str::to_owned).collect();
+    if names.iter().any(String::is_empty) {
+        return Err(OperandError::new(
+            format!("a name in `{text}` is empty"),
+            "separate names by single commas, such as `north,south`",
+        ));
+    }
+    Ok(names)
+}
+
+/// Reads services with their weights: `ledger`, or `ledger=3,vault=1`.
+pub(crate) fn read_targets(text: &str) -> Result<SmallVec<[RouteTarget; 2]>, OperandError> {
+    let parts = read_names(text)?;
+    let is_single = parts.len() == 1;
+    let targets = parts.iter().map(|part| {
+        let (service, weight) = match part.split_once('=') {
+            Some((service, weight)) => (service, read_count(weight).ok()?),
+            None => (part.as_str(), 1),
+        };
+        let is_named = !service.is_empty() && (is_single || part.contains('='));
+        is_named.then(|| RouteTarget { service: service.to_owned(), weight })
+    });
+    targets.collect::<Option<_>>().ok_or_else(|| {
+        OperandError::new(
+            format!("`{text}` names no services with their weights"),
+            "write one service, or several with weights above zero, such as `ledger=3,vault=1`",
+        )
+    })
+}
+
 /// Reads an RFC 3339 time as Unix milliseconds.
 pub(crate) fn read_time(text: &str) -> Result<u64, OperandError> {
     let parsed = humantime::parse_rfc3339(text).ok();
--- a/crates/jackdawmux_rules/src/rule.rs
+++ b/crates/jackdawmux_rules/src/rule.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use jackdawmux_policy::fleet::record::{CallerLimits, RouteRecord, ServiceRecord};
 use jackdawmux_policy::shift::ShiftPlan;
 use jackdawmux_policy::table::{
     EndpointSpec, LinkSpec, OperationSpec, RegionSpec, RepeatRule, RequestPriority, RouteTable,
@@ -12,7 +13,7 @@
 use smallvec::SmallVec;
 
 /// What one rule says.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum RuleKind {
     /// A region with its failure domains.
     Region {
@@ -58,6 +59,12 @@
         /// Longest time from arrival to the end of the work.
         timeout: Duration,
     },
+    /// A route of callers by host and path.
+    Route(RouteRecord),
+    /// A service that routes lead to.
+    Service(ServiceRecord),
+    /// Bounds on what callers may send.
+    Limits(CallerLimits),
     /// A planned shift of traffic.
     Shift(ShiftPlan),
     /// Endpoints that take no new work.
@@ -73,7 +80,7 @@
 }
 
 /// One rule with its line and the comment naming who asked.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RuleLine {
     /// Line in the file, counted from 1.
     pub line: usize,
@@ -84,7 +91,7 @@
 }
 
 /// All rules of a checked file.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct RulesFile {
     /// Rules in the order of the file.
     pub lines: Vec<RuleLine>,
@@ -115,6 +122,9 @@
                 | RuleKind::Link { .. }
                 | RuleKind::Upstream { .. }
                 | RuleKind::Operation { .. }
+                | RuleKind::Route(_)
+                | RuleKind::Service(_)
+                | RuleKind::Limits(_)
                 | RuleKind::Shift(_) => {}
             }
         }
@@ -156,7 +166,12 @@
             });
         }
         RuleKind::Shift(plan) => table.shifts.push(plan.clone()),
-        RuleKind::DrainUpstream { .. } | RuleKind::DrainDomain { .. } => {}
+        // Routes and what belongs to them make no table; see `fleet`.
+        RuleKind::Route(_)
+        | RuleKind::Service(_)
+        | RuleKind::Limits(_)
+        | RuleKind::DrainUpstream { .. }
+        | RuleKind::DrainDomain { .. } => {}
     }
 }
 
--- a/crates/jackdawmux_rules/src/statement.rs
+++ b/crates/jackdawmux_rules/src/statement.rs
@@ -3,6 +3,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
+use jackdawmux_policy::fleet::record::{self, CallerLimits, RouteRecord, ServiceRecord};
 use jackdawmux_policy::shift::ShiftPlan;
 use jackdawmux_policy::table::{RepeatRule, RequestPriority};
 use smallvec::SmallVec;
@@ -11,8 +12,8 @@
 use crate::diagnostic::DiagnosticSink;
 use crate::lexer::{RuleWord, lex_line};
 use crate::operand::{
-    OperandError, read_addresses, read_bandwidth, read_count, read_duration, read_percent,
-    read_time,
+    OperandError, read_addresses, read_bandwidth, read_bytes, read_count, read_duration,
+    read_names, read_percent, read_rate, read_targets, read_time,
 };
 use crate::rule::{RuleKind, RuleLine};
 
@@ -28,6 +29,9 @@
     Link,
     Upstream,
     Operation,
+    Route,
+    Service,
+    Limits,
     Shift,
     Drain,
 }
@@ -51,6 +55,9 @@
         RuleKeyword::Link => parse_link(&mut cursor),
         RuleKeyword::Upstream => parse_upstream(&mut cursor),
         RuleKeyword::Operation => parse_operation(&mut cursor),
+        RuleKeyword::Route => parse_route(&mut cursor),
+        RuleKeyword::Service => parse_service(&mut cursor),
+        RuleKeyword::Limits => parse_limits(&mut cursor),
         RuleKeyword::Shift => parse_shift(&mut cursor),
         RuleKeyword::Drain => parse_drain(&mut cursor),
     }?;
@@ -207,6 +214,73 @@
     Some(RuleKind::Operation { service, method, prefix, priority, repeat, timeout })
 }
 
+fn parse_route(cursor: &mut WordCursor<'_, '_>) -> Option<RuleKind> {
+    let name = cursor.name("the route's name")?;
+    cursor.keyword("host")?;
+    let host = cursor.name("the host")?;
+    cursor.keyword("path")?;
+    let prefix = cursor.value("the path prefix", read_whole_prefix)?;
+    cursor.keyword("to")?;
+    let targets = cursor.value("the services", read_targets)?;
+    cursor.keyword("priority")?;
+    let priority = cursor.value("the priority", read_priority)?;
+    let is_once = cursor.take_if("once");
+    cursor.keyword("attempts")?;
+    let max_attempts = cursor.value("the number of attempts", read_count)?;
+    let is_sticky = cursor.take_if("sticky");
+    let homes = if cursor.take_if("homes") {
+        cursor.value("the home regions", read_names)?
+    } else {
+        SmallVec::new()
+    };
+    cursor.keyword("target")?;
+    let target_latency = cursor.value("the target latency", read_timeout)?;
+    cursor.keyword("timeout")?;
+    let timeout = cursor.value("the timeout", read_timeout)?;
+    Some(RuleKind::Route(RouteRecord {
+        name,
+        host,
+        prefix,
+        repeat: if is_once { record::RepeatRule::Once } else { record::RepeatRule::Idempotent },
+        timeout,
+        target_latency,
+        priority: priority as u32,
+        max_attempts,
+        is_sticky,
+        homes,
+        targets,
+    }))
+}
+
+fn parse_service(cursor: &mut WordCursor<'_, '_>) -> Option<RuleKind> {
+    let name = cursor.name("the service's name")?;
+    cursor.keyword("connections")?;
+    let max_connections = cursor.value("the number of connections", read_count)?;
+    cursor.keyword("cold")?;
+    let cold_rate = cursor.value("the rate of cold endpoints", read_rate)?;
+    cursor.keyword("for")?;
+    let cold_start = cursor.value("the time for which endpoints are cold", read_duration)?;
+    Some(RuleKind::Service(ServiceRecord { name, max_connections, cold_start, cold_rate }))
+}
+
+fn parse_limits(cursor: &mut WordCursor<'_, '_>) -> Option<RuleKind> {
+    cursor.keyword("header")?;
+    let header_bytes = cursor.value("the largest header section", read_bytes)?;
+    cursor.keyword("body")?;
+    let max_body_bytes = cursor.value("the largest body", read_bytes)?;
+    cursor.keyword("header-time")?;
+    let header_timeout = cursor.value("the time for a header section", read_timeout)?;
+    cursor.keyword("idle-time")?;
+    let idle_timeout = cursor.value("the idle time of a connection", read_duration)?;
+    let max_header_bytes = usize::try_from(header_bytes).unwrap_or(usize::MAX);
+    Some(RuleKind::Limits(CallerLimits {
+        max_header_bytes,
+        max_body_bytes,
+        header_timeout,
+        idle_timeout,
+    }))
+}
+
 fn parse_shift(cursor: &mut WordCursor<'_, '_>) -> Option<RuleKind> {
     let service = cursor.name("the service")?;
     cursor.keyword("from")?;
@@ -262,6 +336,18 @@
     })
 }
 
+/// Reads the prefix of a route, which ends with a slash so that it takes whole parts of a path.
+fn read_whole_prefix(text: &str) -> Result<String, OperandError> {
+    let prefix = read_prefix(text)?;
+    if prefix.ends_with('/') {
+        return Ok(prefix);
+    }
+    Err(OperandError {
+        message: format!("the path prefix `{text}` does not end with `/`"),
+        mend: format!("write `{text}/`"),
+    })
+}
+
 fn read_priority(text: &str) -> Result<RequestPriority, OperandError> {
     text.parse().map_err(|_unknown| OperandError {
         message: format!("`{text}` is not a priority"),
--- a/crates/jackdawmux_rules/tests/fixtures.rs
+++ b/crates/jackdawmux_rules/tests/fixtures.rs
@@ -58,8 +58,15 @@
 
     #[test]
     fn any_words_have_a_clear_outcome(
-        words in proptest::collection::vec("(region|domains|link|upstream|operation|shift|drain|once|é|[0-9.:-]{1,12}|#|\n|[a-z%/]{0,6})", 0..60)
+        words in proptest::collection::vec("(region|domains|link|upstream|operation|shift|drain|route|service|limits|host|path|to|once|é|[0-9.:-]{1,12}|#|\n|[a-z%/]{0,6})", 0..60)
     ) {
         outcome("any.rules", words.join(" ").as_bytes());
     }
 }
+
+#[test]
+fn routes_become_the_configuration_of_fronts() {
+    let bytes = include_bytes!("../resources/good-routes.rules");
+    let rules = parse_rules("good-routes.rules", bytes).expect("they are sound").fleet_rules(7);
+    insta::assert_debug_snapshot!("fleet", rules);
+}
