Fronts on accepted rules: a source over the object store and the product's own wire

Instances register in one object under a condition. The start line of a front names the bound address, which with port 0 it did not.

--- /dev/null
+++ b/crates/jackdawmux_entry/src/front/mod.rs
@@ -0,0 +1,89 @@
+//! Runs a front: on the platform, or on accepted rules in the object store.
+
+mod native;
+mod platform;
+
+use std::process::ExitCode;
+
+use bpaf::{OptionParser, Parser, construct};
+use jackdawmux_front::FrontProcess;
+use jackdawmux_front::process::FrontParts;
+use jackdawmux_runtime::{StopSignal, open_log};
+
+use self::native::NativeFlags;
+use self::platform::PlatformFlags;
+
+/// Flags of `jackdawmux front`.
+#[derive(Clone, Debug)]
+enum FrontFlags {
+    Platform(PlatformFlags),
+    Native(NativeFlags),
+}
+
+fn front_parser() -> OptionParser<FrontFlags> {
+    let platform = platform::parser().map(FrontFlags::Platform);
+    let native = native::parser().map(FrontFlags::Native);
+    construct!([platform, native])
+        .to_options()
+        .descr("Carries requests of callers to endpoints")
+        .command("front")
+        .to_options()
+}
+
+/// Runs a front: settings, logs, the process, and a graceful stop on a signal.
+pub(crate) fn run() -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return start_failed(2, format_args!("step=runtime error={error:?}")),
+    };
+    match front_parser().run() {
+        FrontFlags::Platform(flags) => match platform::read(&flags) {
+            Ok(settings) => runtime.block_on(run_platform(flags, settings)),
+            Err(error) => start_failed(2, format_args!("{error}")),
+        },
+        FrontFlags::Native(flags) => runtime.block_on(run_native(flags)),
+    }
+}
+
+async fn run_platform(
+    flags: PlatformFlags,
+    settings: jackdawmux_platform::PlatformSettings,
+) -> ExitCode {
+    if let Err(error) = open_log(&settings.front.instance) {
+        return start_failed(1, format_args!("step=log error={error:?}"));
+    }
+    match platform::parts(flags, settings) {
+        Ok(parts) => run_until_signal(parts).await,
+        Err(error) => start_failed(1, format_args!("{error}")),
+    }
+}
+
+async fn run_native(flags: NativeFlags) -> ExitCode {
+    if let Err(error) = open_log(&flags.instance) {
+        return start_failed(1, format_args!("step=log error={error:?}"));
+    }
+    match native::parts(flags).await {
+        Ok(parts) => run_until_signal(parts).await,
+        Err(error) => start_failed(1, format_args!("{error}")),
+    }
+}
+
+/// Logs may not be open yet.
+fn start_failed(code: u8, reason: std::fmt::Arguments<'_>) -> ExitCode {
+    println!("level=ERROR event=start-failed {reason}");
+    ExitCode::from(code)
+}
+
+async fn run_until_signal(parts: FrontParts) -> ExitCode {
+    let stop = match StopSignal::open() {
+        Ok(stop) => stop,
+        Err(error) => return start_failed(1, format_args!("step=signals error={error:?}")),
+    };
+    let process = match FrontProcess::open(parts).await {
+        Ok(process) => process,
+        Err(error) => return start_failed(1, format_args!("{error}")),
+    };
+    stop.wait().await;
+    process.leave().await;
+    ExitCode::SUCCESS
+}
--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -98,16 +98,16 @@
         let metrics = ProcessMetrics::open().context(MetricsSnafu)?;
         let state = Arc::new(FrontState::new(settings, dialect, metrics, limits_sender));
         let settings = &state.settings;
+        let socket = Arc::new(bind_datagrams(settings.heartbeat_listen).await?);
+        let callers = listen("listen", settings.listen, front_router(Arc::clone(&state)), &limits);
+        let callers = callers.await?;
         log::info!(
             "event=started instance={} failure_domain={} incarnation={:016x} address={}",
             settings.instance,
             settings.domain,
             state.incarnation,
-            settings.listen
+            callers.address
         );
-        let socket = Arc::new(bind_datagrams(settings.heartbeat_listen).await?);
-        let callers = listen("listen", settings.listen, front_router(Arc::clone(&state)), &limits);
-        let callers = callers.await?;
         let ready = ready_router(Arc::clone(&state));
         let ready = listen("ready-listen", settings.ready_listen, ready, &limits).await?;
         let lookups = lookup_router(Arc::clone(&state));
--- /dev/null
+++ b/crates/jackdawmux_native/src/dialect.rs
@@ -0,0 +1,99 @@
+//! The product's own headers and look-ups.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use axum::http::StatusCode;
+use axum::http::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
+use jackdawmux_front::{AnswerMarks, LookupAsk, RequestMarks, WireDialect};
+use serde::Serialize;
+
+/// Identity of one attempt; upstreams echo it. A caller that sends none gives up that check.
+const REQUEST_ID: HeaderName = HeaderName::from_static("jackdaw-request-id");
+/// Milliseconds that a caller still waits.
+const DEADLINE: HeaderName = HeaderName::from_static("jackdaw-deadline-ms");
+/// Object that a request concerns.
+const OBJECT: HeaderName = HeaderName::from_static("jackdaw-object");
+/// What became of a request at its upstream.
+const OUTCOME: HeaderName = HeaderName::from_static("jackdaw-outcome");
+/// Value of the outcome when it did not run.
+const NOT_RUN: &str = "not-run";
+/// Upstream that is meant.
+const UPSTREAM: HeaderName = HeaderName::from_static("jackdaw-upstream");
+
+/// The product's own wire. Upstreams sign nothing and report no load.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NativeDialect;
+
+#[derive(Serialize)]
+struct LookupBody {
+    entries: Vec<LookupEntry>,
+    ttl_ms: u64,
+}
+
+#[derive(Serialize)]
+struct LookupEntry {
+    address: SocketAddr,
+}
+
+impl WireDialect for NativeDialect {
+    fn read_request(&self, headers: &HeaderMap) -> RequestMarks {
+        let deadline = headers.get(DEADLINE).and_then(|value| value.to_str().ok()?.parse().ok());
+        RequestMarks {
+            attempt: headers.get(REQUEST_ID).cloned(),
+            deadline: deadline.map(Duration::from_millis),
+            object: headers.get(OBJECT).cloned(),
+        }
+    }
+
+    fn mark_send(&self, headers: &mut HeaderMap, time_left: Duration, endpoint: &str) {
+        let millis = u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(DEADLINE, HeaderValue::from(millis));
+        match HeaderValue::from_str(endpoint) {
+            Ok(value) => {
+                headers.insert(UPSTREAM, value);
+            }
+            Err(error) => log::warn!("event=endpoint-unnamed endpoint={endpoint:?} error={error}"),
+        }
+    }
+
+    fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerMarks {
+        let outcome = headers.get(OUTCOME);
+        AnswerMarks {
+            attempt: headers.get(REQUEST_ID).cloned(),
+            is_not_run: outcome.is_some_and(|value| value == NOT_RUN),
+            is_misdirected: status == StatusCode::MISDIRECTED_REQUEST,
+            is_signed: true,
+            is_encoded: headers.contains_key(CONTENT_ENCODING),
+            load: None,
+        }
+    }
+
+    fn ready_path(&self) -> &'static str {
+        "/v1/ready"
+    }
+
+    fn lookup_path(&self) -> &'static str {
+        "/v1/entries"
+    }
+
+    fn read_lookup(&self, query: &str) -> LookupAsk {
+        let region = query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find_map(|(name, value)| (name == "region").then(|| value.to_owned()));
+        LookupAsk { region: region.unwrap_or_default() }
+    }
+
+    fn lookup_answer(&self, addresses: &[SocketAddr], ttl: Duration) -> Vec<u8> {
+        let entries = addresses.iter().map(|address| LookupEntry { address: *address }).collect();
+        let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
+        match serde_json::to_vec(&LookupBody { entries, ttl_ms }) {
+            Ok(body) => body,
+            Err(error) => {
+                log::error!("event=lookup-unwritten error={error}");
+                Vec::new()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jackdawmux_native/tests/native.rs
@@ -0,0 +1,185 @@
+//! A front on accepted rules, with stand-ins of the object store and of upstreams.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jackdawmux_front::process::FrontParts;
+use jackdawmux_front::{FrontProcess, FrontSettings};
+use jackdawmux_native::{NativeDialect, RulesSource, read_regions};
+use jackdawmux_policy::fleet::record::FleetBounds;
+use jackdawmux_standins::store::StoreStandin;
+use jackdawmux_standins::upstream::{UpstreamSettings, UpstreamStandin};
+use jackdawmux_store::{AcceptOutcome, AcceptRequest, HttpStore, ObjectStore, accept_rules};
+use reqwest::Client;
+use tokio::time::{sleep, timeout};
+
+/// Longest time for anything that is waited for.
+const WAIT_LONGEST: Duration = Duration::from_secs(20);
+const ANY_PORT: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+struct NativeFleet {
+    store: Arc<dyn ObjectStore>,
+    _store_standin: StoreStandin,
+    upstreams: Vec<UpstreamStandin>,
+    front: FrontProcess,
+    client: Client,
+}
+
+impl NativeFleet {
+    async fn start() -> Self {
+        let standin = StoreStandin::bind(ANY_PORT, None).await.expect("a port");
+        let address = format!("http://{}", standin.address);
+        let store = HttpStore::open(&address, None).expect("a client");
+        let store: Arc<dyn ObjectStore> = Arc::new(store);
+        let mut upstreams = Vec::new();
+        for seed in 0..2 {
+            let settings = UpstreamSettings { service_ms: 2.0, ..UpstreamSettings::default() };
+            let upstream = UpstreamStandin::bind(ANY_PORT, settings, seed).await;
+            upstreams.push(upstream.expect("a port"));
+        }
+        accept(store.as_ref(), &rules(&upstreams, "")).await;
+        let regions = read_regions(store.as_ref()).await.expect("rules are accepted");
+        let settings = settings(regions);
+        let again = settings.clone();
+        let parts = FrontParts {
+            settings,
+            source: Arc::new(RulesSource::new(Arc::clone(&store), &address)),
+            dialect: Arc::new(NativeDialect),
+            reader: Box::new(move || Ok(again.clone())),
+        };
+        let front = FrontProcess::open(parts).await.expect("the front starts");
+        let client = Client::builder().no_proxy().build().expect("a client");
+        let fleet = Self { store, _store_standin: standin, upstreams, front, client };
+        fleet.wait_status("/balance/1", 200).await;
+        fleet
+    }
+
+    async fn status(&self, path: &str) -> u16 {
+        let url = format!("http://{}{path}", self.front.address());
+        let request = self.client.get(url).header("Host", "a.example");
+        let request = request.header("Jackdaw-Request-Id", "r-1").header("Jackdaw-Object", "17");
+        request.send().await.expect("an answer").status().as_u16()
+    }
+
+    async fn wait_status(&self, path: &str, expected: u16) {
+        let reached = async {
+            while self.status(path).await != expected {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(WAIT_LONGEST, reached).await.expect("it holds in time");
+    }
+}
+
+fn settings(regions: BTreeMap<String, String>) -> FrontSettings {
+    FrontSettings {
+        instance: "front-1".to_owned(),
+        domain: "north-a".to_owned(),
+        regions,
+        listen: ANY_PORT,
+        ready_listen: ANY_PORT,
+        directory_listen: ANY_PORT,
+        heartbeat_listen: ANY_PORT,
+        metrics_listen: None,
+        capacity_permille: 1_000,
+        max_descriptors: 1_000,
+        bounds: FleetBounds {
+            retry_ratio: 0.2,
+            retry_slack: 62.0,
+            retry_window: Duration::from_secs(10),
+            cold_multiplier: 1.5,
+            grace: Duration::from_secs(1),
+            lookup_ttl_max: Duration::from_secs(5),
+        },
+    }
+}
+
+fn rules(upstreams: &[UpstreamStandin], more: &str) -> String {
+    let mut text = String::from(
+        "region north domains north-a,north-b  # platform team: sites\n\
+         service ledger connections 400 cold 17/s for 3s  # platform team: contract\n\
+         route balance host a.example path /balance/ to ledger priority low attempts 2 sticky \
+         target 200ms timeout 2s  # counter team: lookups\n",
+    );
+    for (upstream, domain) in upstreams.iter().zip(["north-a", "north-b"]) {
+        let address = upstream.address;
+        let _ = writeln!(
+            text,
+            "upstream ledger {address} domain {domain} slots 6 connections 400  # platform team"
+        );
+    }
+    text.push_str(more);
+    text
+}
+
+async fn accept(store: &dyn ObjectStore, rules: &str) {
+    let request = AcceptRequest {
+        rules: rules.as_bytes(),
+        by: "test",
+        note: "",
+        base: None,
+        above: 0,
+        now_ms: 1_790_000_000_000,
+    };
+    let outcome = accept_rules(store, &request).await;
+    assert!(matches!(outcome, AcceptOutcome::Accepted(_)), "{outcome:?}");
+}
+
+#[tokio::test]
+async fn accepted_rules_steer_a_front() {
+    let fleet = NativeFleet::start().await;
+    assert_eq!(fleet.status("/elsewhere/1").await, 404);
+    let more = "route new host a.example path /new/ to ledger priority low attempts 2 \
+                target 200ms timeout 2s  # counter team: new\n";
+    accept(fleet.store.as_ref(), &rules(&fleet.upstreams, more)).await;
+    fleet.wait_status("/new/1", 200).await;
+}
+
+#[tokio::test]
+async fn a_drained_upstream_gets_nothing_new() {
+    let fleet = NativeFleet::start().await;
+    let first = &fleet.upstreams[0];
+    let more = format!("drain upstream {}  # platform team: disk swap\n", first.address);
+    accept(fleet.store.as_ref(), &rules(&fleet.upstreams, &more)).await;
+    let second = &fleet.upstreams[1];
+    let moved = async {
+        loop {
+            let before = (first.counts().begun, second.counts().begun);
+            for index in 0..10 {
+                fleet.status(&format!("/balance/{index}")).await;
+            }
+            if first.counts().begun == before.0 && second.counts().begun >= before.1 + 10 {
+                return;
+            }
+        }
+    };
+    timeout(WAIT_LONGEST, moved).await.expect("the drain is kept in time");
+    let more = "drain domain north-a  # platform team\ndrain domain north-b  # platform team\n";
+    accept(fleet.store.as_ref(), &rules(&fleet.upstreams, more)).await;
+    fleet.wait_status("/balance/1", 503).await;
+}
+
+#[tokio::test]
+async fn a_front_registers_and_is_named() {
+    let fleet = NativeFleet::start().await;
+    let url = format!("http://{}/v1/entries?region=north", fleet.front.directory_address());
+    let named = async {
+        loop {
+            let answer = fleet.client.get(&url).send().await.expect("an answer");
+            let body: serde_json::Value = answer.json().await.expect("a look-up");
+            if body["entries"][0]["address"] == fleet.front.address().to_string() {
+                return;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(WAIT_LONGEST, named).await.expect("it is named in time");
+    let NativeFleet { store, front, .. } = fleet;
+    front.leave().await;
+    let table = store.read("fronts/instances").await.expect("the store answers");
+    assert_eq!(table.expect("the table").content.as_ref(), br#"{"instances":{}}"#);
+}
