--- a/crates/jackdawmux_entry/src/front/mod.rs
+++ b/crates/jackdawmux_entry/src/front/mod.rs
@@ -49,9 +49,10 @@
     flags: PlatformFlags,
     settings: jackdawmux_platform::PlatformSettings,
 ) -> ExitCode {
-    if let Err(error) = open_log(&settings.front.instance) {
-        return start_failed(1, format_args!("step=log error={error:?}"));
-    }
+    let _log = match open_log(&settings.front.instance) {
+        Ok(log) => log,
+        Err(error) => return start_failed(1, format_args!("step=log error={error:?}")),
+    };
     match platform::parts(flags, settings) {
         Ok(parts) => run_until_signal(parts).await,
         Err(error) => start_failed(1, format_args!("{error}")),
@@ -59,9 +60,10 @@
 }
 
 async fn run_native(flags: NativeFlags) -> ExitCode {
-    if let Err(error) = open_log(&flags.instance) {
-        return start_failed(1, format_args!("step=log error={error:?}"));
-    }
+    let _log = match open_log(&flags.instance) {
+        Ok(log) => log,
+        Err(error) => return start_failed(1, format_args!("step=log error={error:?}")),
+    };
     match native::parts(flags).await {
         Ok(parts) => run_until_signal(parts).await,
         Err(error) => start_failed(1, format_args!("{error}")),
