Soak: a stop is judged by its end; stalls of the soak itself are noted

Cause: of seeds 100 to 149 (release, 30 s of faults, 5 fronts) seed 136 reported a front that still ran at the end of its grace. The soak looked at the clock before it looked whether the process had ended, so a soak that did not run for seconds called an ended process late. Ruled out: a freeze of that front (none near), requests that hold its connections.

--- a/crates/jackdawmux_entry/tests/soak.rs
+++ b/crates/jackdawmux_entry/tests/soak.rs
@@ -25,3 +25,6 @@
 
 soak_case!(promises_hold_under_signals_and_harmed_links, 11);
 soak_case!(promises_hold_under_changes_and_lost_endpoints, 12);
+// By hand: the soak did not run for seconds, found a front that had ended in time only after its
+// grace, and called that late.
+soak_case!(a_stop_is_judged_by_its_end, 136);
--- a/crates/jackdawmux_soak/src/disturbance.rs
+++ b/crates/jackdawmux_soak/src/disturbance.rs
@@ -15,6 +15,8 @@
     Front(usize),
     /// The store, for every front.
     Store,
+    /// The soak itself did not run for a moment, and so perhaps nothing did.
+    Everything,
     /// An endpoint, by its name.
     Endpoint(String),
 }
@@ -52,6 +54,13 @@
         spans[key].until = Some(Instant::now());
     }
 
+    /// Notes a span that has ended.
+    pub fn note(&self, part: DisturbedPart, kind: FaultKind, from: Instant) {
+        let until = Some(Instant::now());
+        let mut spans = self.spans.lock().expect("no task panicked");
+        spans.push(DisturbanceSpan { part, kind, from, until });
+    }
+
     /// All spans.
     pub fn spans(&self) -> Vec<DisturbanceSpan> {
         self.spans.lock().expect("no task panicked").clone()
@@ -81,7 +90,8 @@
     #[must_use]
     pub fn is_in_touch(&self, front: usize, from: Instant, until: Instant) -> bool {
         !self.is_any(from, until, |span| {
-            matches!(span.part, DisturbedPart::Store) || span.part == DisturbedPart::Front(front)
+            matches!(span.part, DisturbedPart::Store | DisturbedPart::Everything)
+                || span.part == DisturbedPart::Front(front)
         })
     }
 
--- a/crates/jackdawmux_soak/src/fleet.rs
+++ b/crates/jackdawmux_soak/src/fleet.rs
@@ -195,8 +195,7 @@
         let front = &self.fronts[index];
         let settings = self.settings_path(index);
         std::fs::write(&settings, front.site.settings(&DOMAINS))?;
-        let log = self.directory.join(format!("front-{index}.log"));
-        let child = FrontChild::spawn(&self.program, &settings, &log)?;
+        let child = FrontChild::spawn(&self.program, &settings, &self.log_path(index))?;
         let mut slot = front.lock();
         let start = front.starts.fetch_add(1, Ordering::SeqCst) + 1;
         let life =
@@ -211,6 +210,22 @@
         self.directory.join(format!("front-{index}.toml"))
     }
 
+    /// The log of a front, over all its starts.
+    fn log_path(&self, index: usize) -> PathBuf {
+        self.directory.join(format!("front-{index}.log"))
+    }
+
+    /// Whether the last line of a front's log tells of its stop.
+    pub fn is_stop_logged(&self, index: usize) -> bool {
+        match std::fs::read_to_string(self.log_path(index)) {
+            Ok(text) => text.lines().last().is_some_and(|line| line.contains("event=stopped")),
+            Err(error) => {
+                log::error!("event=log-unread front={index} error={error:?}");
+                false
+            }
+        }
+    }
+
     /// Changes the record of a front's newest start.
     pub fn change_life(&self, index: usize, change: impl FnOnce(&mut FrontLife)) {
         let mut facts = self.facts();
--- a/crates/jackdawmux_soak/src/inject.rs
+++ b/crates/jackdawmux_soak/src/inject.rs
@@ -1,6 +1,7 @@
 //! Carries out the faults of a plan.
 
 use std::io;
+use std::process::ExitStatus;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -48,6 +49,7 @@
         FaultKind::EndpointCrashed => crash_endpoint(&fleet, fault).await,
         FaultKind::VersionWritten => write_next_version(&fleet, fault),
         FaultKind::DomainEvacuated => evacuate(&fleet, fault).await,
+        FaultKind::SoakStalled => Ok(()),
     };
     if let Err(error) = done {
         log::error!("event=fault-failed kind={} error={error:?}", fault.kind);
@@ -100,40 +102,67 @@
 /// Waits until a front that was asked to stop has ended, and kills it after its grace, as the
 /// platform does. False when another fault took the process first.
 async fn wait_for_stop(fleet: &SoakFleet, front: usize, start: u64, asked: Instant) -> bool {
+    let mut waited = Duration::ZERO;
     loop {
-        {
-            let mut slot = fleet.fronts[front].lock();
-            let is_same = fleet.fronts[front].start_count() == start;
-            let Some(child) = slot.as_mut().filter(|_| is_same) else {
-                return false;
-            };
-            let ended = child.ended();
-            let is_late = asked.elapsed() > GRACE;
-            if ended.is_some() || is_late {
-                child.kill();
-                *slot = None;
-                drop(slot);
-                fleet.change_life(front, |life| life.until = Some(Instant::now()));
-                let was_frozen = fleet.disturbances.spans().iter().any(|span| {
-                    span.part == DisturbedPart::Front(front)
-                        && span.kind == FaultKind::FrontFrozen
-                        && span.until.is_none_or(|until| until > asked)
-                });
-                if is_late && !was_frozen {
-                    let text = format!("front {front} still ran at the end of its grace");
-                    fleet.facts().odd_ends.push(text);
-                }
-                if let Some(status) = ended.filter(|status| !status.success()) {
-                    let text = format!("front {front} ended a planned stop with {status}");
-                    fleet.facts().odd_ends.push(text);
-                }
-                return true;
+        let Some(ended) = look_at_stop(fleet, front, start, waited > GRACE) else {
+            return false;
+        };
+        let was_frozen = || {
+            fleet.disturbances.spans().iter().any(|span| {
+                span.part == DisturbedPart::Front(front)
+                    && span.kind == FaultKind::FrontFrozen
+                    && span.until.is_none_or(|until| until > asked)
+            })
+        };
+        let odd = match ended {
+            StopState::Running => None,
+            StopState::Ended(status) if status.success() => {
+                (!fleet.is_stop_logged(front)).then(|| format!("front {front} logged no stop"))
             }
+            StopState::Ended(status) => {
+                Some(format!("front {front} ended a planned stop with {status}"))
+            }
+            StopState::Killed if was_frozen() => return true,
+            StopState::Killed => Some(format!("front {front} still ran at the end of its grace")),
+        };
+        let is_over = !matches!(ended, StopState::Running);
+        fleet.facts().odd_ends.extend(odd);
+        if is_over {
+            return true;
         }
+        let before = Instant::now();
         sleep(WATCH_PAUSE).await;
+        // While the soak itself did not run, neither may have the front.
+        waited += before.elapsed().min(WATCH_PAUSE * 2);
     }
 }
 
+/// State of a front that was asked to stop.
+enum StopState {
+    Running,
+    Ended(ExitStatus),
+    Killed,
+}
+
+/// Looks at a stop, and kills the process when it is late. None when the process is another one.
+fn look_at_stop(fleet: &SoakFleet, front: usize, start: u64, is_late: bool) -> Option<StopState> {
+    let mut slot = fleet.fronts[front].lock();
+    let is_same = fleet.fronts[front].start_count() == start;
+    let child = slot.as_mut().filter(|_| is_same)?;
+    let state = match child.ended() {
+        Some(status) => StopState::Ended(status),
+        None if is_late => {
+            child.kill();
+            StopState::Killed
+        }
+        None => return Some(StopState::Running),
+    };
+    *slot = None;
+    drop(slot);
+    fleet.change_life(front, |life| life.until = Some(Instant::now()));
+    Some(state)
+}
+
 async fn freeze_front(fleet: &SoakFleet, fault: PlannedFault) -> io::Result<()> {
     let front = front_of(fleet, fault);
     let start = {
--- a/crates/jackdawmux_soak/src/plan.rs
+++ b/crates/jackdawmux_soak/src/plan.rs
@@ -62,6 +62,8 @@
     VersionWritten,
     /// The operator asks for a failure domain to be left alone.
     DomainEvacuated,
+    /// The soak did not run for a moment; no plan has it.
+    SoakStalled,
 }
 
 /// One fault of a plan.
@@ -109,7 +111,8 @@
 }
 
 fn draw_fault(random: &mut impl Rng, at: Duration, end: Duration) -> PlannedFault {
-    let kinds: Vec<FaultKind> = FaultKind::iter().collect();
+    let kinds: Vec<FaultKind> =
+        FaultKind::iter().filter(|kind| *kind != FaultKind::SoakStalled).collect();
     let kind = *kinds.choose(random).expect("there are kinds");
     let is_evacuation = kind == FaultKind::DomainEvacuated;
     let (shortest, longest) = if is_evacuation { EVACUATION_MILLIS } else { FAULT_MILLIS };
--- a/crates/jackdawmux_soak/src/run.rs
+++ b/crates/jackdawmux_soak/src/run.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 
 use crate::callers::{CallerLog, SoakCaller};
-use crate::disturbance::DisturbanceView;
+use crate::disturbance::{DisturbanceView, DisturbedPart};
 use crate::fleet::SoakFleet;
 use crate::inject::inject;
 use crate::plan::{FaultKind, PlannedFault, draw_plan};
@@ -29,6 +29,11 @@
 /// Pause between looks at processes that may have ended by themselves.
 const WATCH_PAUSE: Duration = Duration::from_millis(50);
 
+/// Pause of the task that notices when the soak itself does not run.
+const STALL_PAUSE: Duration = Duration::from_millis(20);
+/// Lateness of that task that counts as a stall.
+const STALL_SHORTEST: Duration = Duration::from_millis(200);
+
 /// Size of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct SoakSize {
@@ -53,16 +58,20 @@
     pub outcomes: BTreeMap<String, usize>,
     /// Broken promises.
     pub findings: Vec<SoakFinding>,
+    /// Time for which the soak itself did not run; promises with a time bound are not judged
+    /// around it.
+    pub stalled: Duration,
     /// Logs of the fronts, kept when a promise was broken.
     pub directory: PathBuf,
 }
 
 impl fmt::Display for SoakReport {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { seed, faults, outcomes, findings, directory } = self;
+        let Self { seed, faults, outcomes, findings, stalled, directory } = self;
         write!(
             formatter,
-            "seed={seed} outcomes={outcomes:?} faults={faults:?} broken={}",
+            "seed={seed} outcomes={outcomes:?} faults={faults:?} stalled_ms={} broken={}",
+            stalled.as_millis(),
             findings.len()
         )?;
         for finding in findings {
@@ -93,6 +102,7 @@
         callers.spawn(caller.run(ending.clone()));
     }
     let watch = tokio::spawn(watch_processes(Arc::clone(&fleet)));
+    let stalls = tokio::spawn(watch_stalls(Arc::clone(&fleet)));
     play(&fleet, &plan).await;
     sleep(RECOVERY).await;
     let calm_from = Instant::now();
@@ -100,12 +110,14 @@
     end.send_replace(true);
     while callers.join_next().await.is_some() {}
     stop(watch).await;
+    stop(stalls).await;
     let findings = check(&fleet, &log, calm_from);
     let report = SoakReport {
         seed,
         faults: count_faults(&plan),
         outcomes: count_outcomes(&log),
         findings,
+        stalled: stalled_time(&fleet),
         directory,
     };
     drop(fleet);
@@ -162,6 +174,25 @@
     }
 }
 
+/// Notes when this task runs late, so that nothing else can have been on time either.
+async fn watch_stalls(fleet: Arc<SoakFleet>) {
+    loop {
+        let before = Instant::now();
+        sleep(STALL_PAUSE).await;
+        let late = before.elapsed().saturating_sub(STALL_PAUSE);
+        if late >= STALL_SHORTEST {
+            log::warn!("event=soak-stalled late_ms={}", late.as_millis());
+            fleet.disturbances.note(DisturbedPart::Everything, FaultKind::SoakStalled, before);
+        }
+    }
+}
+
+fn stalled_time(fleet: &SoakFleet) -> Duration {
+    let spans = fleet.disturbances.spans();
+    let stalls = spans.iter().filter(|span| span.kind == FaultKind::SoakStalled);
+    stalls.filter_map(|span| Some(span.until?.duration_since(span.from))).sum()
+}
+
 async fn stop(task: JoinHandle<()>) {
     task.abort();
     // It was cancelled, which is no news.
