--- a/crates/jackdawmux_policy/src/fleet/mod.rs
+++ b/crates/jackdawmux_policy/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod crash_record;
 pub mod directory;
 pub mod endpoint_state;
+pub mod news_cursor;
 pub mod outlier;
 pub mod placement;
 pub mod record;
