--- a/crates/jackdawmux_entry/src/front/native.rs
+++ b/crates/jackdawmux_entry/src/front/native.rs
@@ -23,6 +23,8 @@
 const COLD_MULTIPLIER: f64 = 1.0;
 /// Longest time to live of a look-up.
 const LOOKUP_TTL_LONGEST: Duration = Duration::from_secs(5);
+/// Time within which accepted rules and drains are acted upon.
+const NEWS_DUE: Duration = Duration::from_secs(2);
 /// Time for a planned stop, in milliseconds, while no flag states another.
 const GRACE_DEFAULT_MILLIS: u64 = 6_000;
 /// Descriptors that the process may use while no flag states another.
@@ -168,6 +170,7 @@
             cold_multiplier: COLD_MULTIPLIER,
             grace: Duration::from_millis(flags.grace_ms),
             lookup_ttl_max: LOOKUP_TTL_LONGEST,
+            news_due: NEWS_DUE,
         },
     }
 }
--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -130,6 +130,7 @@
                 contact: Arc::clone(&state.contact),
                 believer: believer.clone(),
                 topic,
+                due: settings.bounds.news_due,
             };
             tasks.spawn(watcher.run());
         }
--- a/crates/jackdawmux_front/src/process/watcher.rs
+++ b/crates/jackdawmux_front/src/process/watcher.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use jackdawmux_policy::fleet::news_cursor::{AskEnd, NewsCursor, SourceAsk};
 use kameo::actor::ActorRef;
 use tokio::time::sleep;
 
@@ -12,9 +13,10 @@
 
 /// Longest time for which one watch waits.
 const WATCH_LONGEST: Duration = Duration::from_secs(12);
-/// Pause after facts about the deployment have come, in which further ones gather: every call has
-/// its price, and the tightest bound on what must be learnt is two seconds.
-const GATHER_PAUSE: Duration = Duration::from_millis(600);
+/// Pause after facts about the deployment have come, in which further ones gather, as a share of
+/// the time within which a fact must be acted upon: every call has its price, and the rest of that
+/// time is left for a slow answer and for requests on their way.
+const GATHER_SHARE: f64 = 0.3;
 /// The same for instances, of which heartbeats tell sooner whether they live.
 const GATHER_INSTANCES: Duration = Duration::from_secs(1);
 /// First pause after a failed call; doubles up to the longest.
@@ -30,45 +32,38 @@
     pub(crate) contact: Arc<SourceContact>,
     pub(crate) believer: ActorRef<FleetActor>,
     pub(crate) topic: NewsTopic,
+    /// Time within which a fact must be acted upon.
+    pub(crate) due: Duration,
 }
 
 impl TopicWatcher {
     pub(crate) async fn run(self) {
-        let mut position = None;
+        let mut cursor = NewsCursor::default();
         let mut pause = RETRY_FIRST;
         loop {
             let probe = self.contact.wait_turn().await;
             if probe.is_some() {
-                // A watch says nothing for as long as nothing changes.
-                position = None;
+                cursor.probe();
             }
-            let (called, is_whole) = match position {
-                None => (self.source.list(self.topic).await, true),
-                Some(at) => (self.source.watch(self.topic, at, WATCH_LONGEST).await, false),
-            };
-            match called {
+            let ask = cursor.next();
+            match self.call(ask).await {
                 Ok(batch) => {
                     pause = RETRY_FIRST;
                     self.note_success().await;
                     drop(probe);
-                    // The position moves only with facts: a source that withholds them for a
-                    // moment may already tell a later position.
-                    if is_whole || !batch.news.is_empty() {
-                        position = Some(batch.position);
-                    }
-                    if !self.pass_on(batch, is_whole).await {
+                    let is_empty = batch.news.is_empty();
+                    cursor.note(ask, AskEnd::Answered { position: batch.position, is_empty });
+                    if !self.pass_on(batch, ask == SourceAsk::List).await {
                         return;
                     }
                 }
                 Err(error) if error.fault == SourceFault::HistoryGone => {
                     self.note_success().await;
                     log::info!("event=history-gone topic={} {error}", self.topic);
-                    position = None;
+                    cursor.note(ask, AskEnd::HistoryGone);
                 }
                 Err(error) => {
-                    // A watch that was cut may have missed facts whose history is going; only a
-                    // new list is sure.
-                    position = None;
+                    cursor.note(ask, AskEnd::Failed);
                     self.note_failure(&error);
                     sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
                     pause = (pause * 2).min(RETRY_LONGEST);
@@ -77,13 +72,23 @@
         }
     }
 
+    async fn call(&self, ask: SourceAsk) -> Result<NewsBatch, SourceError> {
+        match ask {
+            SourceAsk::List => self.source.list(self.topic).await,
+            SourceAsk::Watch { position } => {
+                self.source.watch(self.topic, position, WATCH_LONGEST).await
+            }
+        }
+    }
+
     async fn pass_on(&self, batch: NewsBatch, is_whole: bool) -> bool {
         let is_empty = batch.news.is_empty();
         let message = LearnNews { topic: self.topic, batch, is_whole };
         let is_passed = self.believer.tell(message).await.is_ok();
         if !is_empty {
             let is_instances = self.topic == NewsTopic::Instances;
-            sleep(if is_instances { GATHER_INSTANCES } else { GATHER_PAUSE }).await;
+            let pause = self.due.mul_f64(GATHER_SHARE);
+            sleep(if is_instances { GATHER_INSTANCES } else { pause }).await;
         }
         is_passed
     }
--- a/crates/jackdawmux_policy/src/fleet/record.rs
+++ b/crates/jackdawmux_policy/src/fleet/record.rs
@@ -151,4 +151,6 @@
     pub grace: Duration,
     /// Longest time to live of a look-up.
     pub lookup_ttl_max: Duration,
+    /// Time within which a fact about the deployment must be acted upon.
+    pub news_due: Duration,
 }
