Heartbeats go to a bounded number of instances

Heartbeats now go to the next 63 instances of the own region in the order of names and to eight of each other region, spread evenly; with the own one that is what a look-up may name (64 at most, a bound that was missing). Fleets of up to 64 instances a region change only between regions.

--- a/crates/jackdawmux_front/src/process/heartbeat.rs
+++ b/crates/jackdawmux_front/src/process/heartbeat.rs
@@ -97,7 +97,7 @@
     ciborium::from_reader(bytes).map_err(io::Error::other)
 }
 
-/// Sends a heartbeat to every registered instance.
+/// Sends a heartbeat to the instances that are to hear of this one.
 pub(crate) async fn send_heartbeats(state: &FrontState, socket: &UdpSocket) {
     let held = state.contact.held_for();
     let heartbeat = Heartbeat {
@@ -115,7 +115,7 @@
         }
     };
     let peers: Vec<SocketAddr> =
-        state.directory().peers().map(|record| record.heartbeat_address).collect();
+        state.directory().peers().iter().map(|record| record.heartbeat_address).collect();
     for peer in peers {
         if let Err(error) = socket.send_to(&bytes, peer).await {
             // The next heartbeat follows soon; receivers allow for several that are missing.
--- a/crates/jackdawmux_policy/src/fleet/directory.rs
+++ b/crates/jackdawmux_policy/src/fleet/directory.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::placement::NAMED_LIMIT;
 use super::record::InstanceRecord;
 use crate::clock::PolicyTime;
 
@@ -13,6 +14,11 @@
 const PERIOD_LONGEST: Duration = Duration::from_secs(1);
 /// Time that each registered instance adds to the period.
 const PERIOD_PER_INSTANCE: Duration = Duration::from_millis(10);
+/// Instances of the own region to which heartbeats go; with the own one as many as a look-up names.
+const OWN_FAN_OUT: usize = NAMED_LIMIT - 1;
+/// Instances of each other region to which they go: enough to name some to callers of a region
+/// whose own directories are away.
+const OTHER_FAN_OUT: usize = 8;
 /// Heartbeats that may be missing before an instance is no longer named. Datagrams are lost now
 /// and then, so one missing says nothing.
 const MISSING_LIMIT: u32 = 5;
@@ -102,9 +108,34 @@
         (PERIOD_PER_INSTANCE.saturating_mul(count)).clamp(PERIOD_SHORTEST, PERIOD_LONGEST)
     }
 
-    /// The other registered instances, to which heartbeats go.
-    pub fn peers(&self) -> impl Iterator<Item = &InstanceRecord> {
-        self.registered.values().filter(|record| record.name != self.own)
+    /// The instances to which heartbeats go: in a large fleet the next ones in the order of names,
+    /// so that everybody is heard of by equally many, and the cost of one instance stays flat.
+    #[must_use]
+    pub fn peers(&self) -> Vec<&InstanceRecord> {
+        let mut regions: BTreeMap<&str, Vec<&InstanceRecord>> = BTreeMap::new();
+        for record in self.registered.values() {
+            regions.entry(self.region_of(&record.domain)).or_default().push(record);
+        }
+        let own_region = self.registered.get(&self.own).map(|own| self.region_of(&own.domain));
+        let own_place = own_region.and_then(|region| {
+            let records = regions.get(region)?;
+            records.iter().position(|record| record.name == self.own)
+        });
+        // Before its own registration is known here, an instance is heard of by all.
+        let Some(place) = own_place else {
+            return self.registered.values().filter(|record| record.name != self.own).collect();
+        };
+        let mut peers = Vec::new();
+        for (region, records) in regions {
+            if Some(region) == own_region {
+                let following = records.iter().cycle().skip(place + 1);
+                peers.extend(following.take(OWN_FAN_OUT.min(records.len() - 1)));
+            } else {
+                let following = records.iter().cycle().skip(place * OTHER_FAN_OUT);
+                peers.extend(following.take(OTHER_FAN_OUT.min(records.len())));
+            }
+        }
+        peers
     }
 
     /// Instances that callers may be sent to: registered, heard of lately, and serving.
--- /dev/null
+++ b/crates/jackdawmux_policy/tests/heartbeat_fan_out.rs
@@ -0,0 +1,77 @@
+//! Load pattern: heartbeats of a growing fleet. The cost of one instance stays flat, and everybody
+//! is heard of where callers may be sent to it.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use jackdawmux_policy::clock::PolicyTime;
+use jackdawmux_policy::fleet::directory::InstanceDirectory;
+use jackdawmux_policy::fleet::placement::{NAMED_LIMIT, place_caller};
+use jackdawmux_policy::fleet::record::InstanceRecord;
+use rstest::rstest;
+
+const REGIONS: [&str; 3] = ["north", "mid", "south"];
+
+fn regions() -> Arc<BTreeMap<String, String>> {
+    let pairs = REGIONS.map(|region| (format!("{region}-a"), region.to_owned()));
+    Arc::new(BTreeMap::from(pairs))
+}
+
+fn record(index: u16) -> InstanceRecord {
+    let region = REGIONS[usize::from(index) % REGIONS.len()];
+    InstanceRecord {
+        name: format!("front-{index:04}"),
+        address: SocketAddr::from(([10, 0, 0, 1], index)),
+        heartbeat_address: SocketAddr::from(([10, 0, 0, 2], index)),
+        domain: format!("{region}-a"),
+        capacity_permille: 500,
+        incarnation: 1,
+    }
+}
+
+fn directory(own: u16, count: u16) -> InstanceDirectory {
+    let mut directory = InstanceDirectory::new(&record(own).name, regions());
+    directory.replace((0..count).map(record).collect());
+    directory.set_serving(true);
+    directory
+}
+
+#[rstest]
+#[case::small(7, 6)]
+#[case::grown(26, 25)]
+#[case::hundreds(300, NAMED_LIMIT + 15)]
+#[case::thousands(3_400, NAMED_LIMIT + 15)]
+fn the_fan_out_is_bounded_and_even(#[case] count: u16, #[case] most: usize) {
+    let mut heard: HashMap<String, usize> = HashMap::new();
+    for own in 0..count {
+        let directory = directory(own, count);
+        let peers = directory.peers();
+        assert!(peers.len() <= most, "{} peers", peers.len());
+        for peer in peers {
+            assert_ne!(peer.name, record(own).name);
+            *heard.entry(peer.name.clone()).or_default() += 1;
+        }
+    }
+    let least = heard.values().min().copied().unwrap_or(0);
+    assert_eq!(heard.len(), usize::from(count));
+    assert!(least + 8 >= most.min(usize::from(count) - 1), "one hears of {least} only");
+}
+
+#[test]
+fn look_ups_of_a_large_fleet_name_as_many_as_callers_read() {
+    let count = 600;
+    let own = directory(0, count);
+    let mut directory = own.clone();
+    let now = PolicyTime::from_millis(1_000);
+    for sender in 1..count {
+        let is_heard =
+            self::directory(sender, count).peers().iter().any(|peer| peer.name == record(0).name);
+        if is_heard {
+            directory.hear(now, &record(sender).name, true);
+        }
+    }
+    let live = directory.live(now);
+    assert_eq!(place_caller(&live, "north", 0.5).len(), NAMED_LIMIT);
+    assert!(place_caller(&live, "south", 0.5).len() >= 4);
+}
