Fields that nothing reads are gone

ChooseAsk::time_left, FleetSteering::bounds and the incarnation in heartbeats were written and never read.

--- a/crates/jackdawmux_front/src/process/heartbeat.rs
+++ b/crates/jackdawmux_front/src/process/heartbeat.rs
@@ -23,15 +23,13 @@
 /// Largest heartbeat, in bytes: a name of 255 bytes and the crashes, with room to spare.
 const HEARTBEAT_BYTES: usize = 512;
 /// Elements of an encoded heartbeat.
-const HEARTBEAT_ELEMENTS: usize = 5;
+const HEARTBEAT_ELEMENTS: usize = 4;
 
 /// What an instance tells the others regularly.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
     /// Name of the sender.
     pub instance: String,
-    /// Drawn at random at the sender's start.
-    pub incarnation: u64,
     /// Whether callers may be sent to it.
     pub is_serving: bool,
     /// How long the source of facts has answered all of the sender's calls, in milliseconds; zero
@@ -45,7 +43,6 @@
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let mut tuple = serializer.serialize_tuple(HEARTBEAT_ELEMENTS)?;
         tuple.serialize_element(&self.instance)?;
-        tuple.serialize_element(&self.incarnation)?;
         tuple.serialize_element(&self.is_serving)?;
         tuple.serialize_element(&self.source_held_ms)?;
         tuple.serialize_element(&self.crashes)?;
@@ -65,17 +62,16 @@
     type Value = Heartbeat;
 
     fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("a heartbeat of five elements")
+        formatter.write_str("a heartbeat of four elements")
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut elements: A) -> Result<Heartbeat, A::Error> {
         let missing = |index| A::Error::invalid_length(index, &self);
         let instance = elements.next_element()?.ok_or_else(|| missing(0))?;
-        let incarnation = elements.next_element()?.ok_or_else(|| missing(1))?;
-        let is_serving = elements.next_element()?.ok_or_else(|| missing(2))?;
-        let source_held_ms = elements.next_element()?.ok_or_else(|| missing(3))?;
-        let crashes = elements.next_element()?.ok_or_else(|| missing(4))?;
-        Ok(Heartbeat { instance, incarnation, is_serving, source_held_ms, crashes })
+        let is_serving = elements.next_element()?.ok_or_else(|| missing(1))?;
+        let source_held_ms = elements.next_element()?.ok_or_else(|| missing(2))?;
+        let crashes = elements.next_element()?.ok_or_else(|| missing(3))?;
+        Ok(Heartbeat { instance, is_serving, source_held_ms, crashes })
     }
 }
 
@@ -102,7 +98,6 @@
     let held = state.contact.held_for();
     let heartbeat = Heartbeat {
         instance: state.settings.instance.clone(),
-        incarnation: state.incarnation,
         is_serving: state.phase() == FrontPhase::Serving,
         crashes: state.steering().crashes().shared(state.clock.now()),
         source_held_ms: held.map_or(0, |span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX)),
--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -193,7 +193,6 @@
             object: self.plan.object,
             tried: &self.tried,
             is_repeat: self.reached > 0,
-            time_left: self.time_left(),
         };
         let now = self.state.clock.now();
         self.state.steering().choose(now, &ask).map_err(FrontRefusal::NotChosen)
--- a/crates/jackdawmux_front/tests/heartbeats.rs
+++ b/crates/jackdawmux_front/tests/heartbeats.rs
@@ -13,13 +13,12 @@
     #[test]
     fn a_heartbeat_comes_back_as_it_was(
         instance in "[a-z0-9-]{1,60}",
-        incarnation in any::<u64>(),
         is_serving in any::<bool>(),
         source_held_ms in any::<u64>(),
         crashes in prop::collection::vec(any::<(u64, u32)>(), 0..8),
     ) {
         let crashes = crashes.into_iter().collect();
-        let heartbeat = Heartbeat { instance, incarnation, is_serving, source_held_ms, crashes };
+        let heartbeat = Heartbeat { instance, is_serving, source_held_ms, crashes };
         let bytes = encode_heartbeat(&heartbeat).expect("it is encoded");
         prop_assert!(bytes.len() <= 512, "{} bytes", bytes.len());
         prop_assert_eq!(decode_heartbeat(&bytes).expect("it is decoded"), heartbeat);
@@ -36,7 +35,6 @@
     fn a_cut_heartbeat_is_an_error(cut in 1..20_usize) {
         let heartbeat = Heartbeat {
             instance: "front-a-1".to_owned(),
-            incarnation: 7,
             is_serving: true,
             source_held_ms: 1_000,
             crashes: std::iter::once((9, 1)).collect(),
--- a/crates/jackdawmux_policy/src/fleet/choice.rs
+++ b/crates/jackdawmux_policy/src/fleet/choice.rs
@@ -46,8 +46,6 @@
     pub tried: &'ask [EndpointKey],
     /// Whether bytes of the request have reached an endpoint before.
     pub is_repeat: bool,
-    /// Time until the deadline.
-    pub time_left: Duration,
 }
 
 /// Where a request goes.
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -122,12 +122,6 @@
         }
     }
 
-    /// Bounds in force.
-    #[must_use]
-    pub const fn bounds(&self) -> &FleetBounds {
-        &self.bounds
-    }
-
     /// The configuration in force.
     #[must_use]
     pub const fn table(&self) -> Option<&Arc<RouteTable>> {
--- a/crates/jackdawmux_policy/tests/fleet_rules.rs
+++ b/crates/jackdawmux_policy/tests/fleet_rules.rs
@@ -33,8 +33,7 @@
 }
 
 fn ask(route: &RouteRecord, object: u64) -> ChooseAsk<'_> {
-    let time_left = Duration::from_millis(1_200);
-    ChooseAsk { service: SERVICE, route, object, tried: &[], is_repeat: false, time_left }
+    ChooseAsk { service: SERVICE, route, object, tried: &[], is_repeat: false }
 }
 
 /// Chooses and ends the send at once.
--- a/crates/jackdawmux_policy/tests/news_model.rs
+++ b/crates/jackdawmux_policy/tests/news_model.rs
@@ -317,14 +317,8 @@
 /// Usable, known but not usable, or not known.
 fn read_back(steering: &mut FleetSteering, now: PolicyTime) -> Fact {
     let route = route();
-    let ask = ChooseAsk {
-        service: SERVICE,
-        route: &route,
-        object: 1,
-        tried: &[],
-        is_repeat: false,
-        time_left: Duration::from_secs(1),
-    };
+    let ask =
+        ChooseAsk { service: SERVICE, route: &route, object: 1, tried: &[], is_repeat: false };
     let is_usable = steering.choose(now, &ask).is_ok();
     match (is_usable, steering.endpoint_count()) {
         (true, _) => Fact::Ready,
--- a/crates/jackdawmux_policy/tests/support/warm_fleet.rs
+++ b/crates/jackdawmux_policy/tests/support/warm_fleet.rs
@@ -197,7 +197,6 @@
             object: hash,
             tried: &[],
             is_repeat: false,
-            time_left: Duration::from_micros(1_200_000 - (at - asked_at)),
         };
         let Ok(choice) = self.fronts[front].choose(PolicyTime(at), &ask) else {
             self.refuse(at, object, asked_at);
