Registrations without signs of life are removed

Cause: an instance that was taken away without a planned stop stayed registered for good and kept its part of retry budget and cold pace; over weeks of replacements the others' parts shrink to nothing. After ten minutes without a heartbeat the next living instance of its region removes the registration. An instance whose own registration is gone while it serves (it was frozen or cut off for so long) registers again.

--- a/crates/jackdawmux_front/src/process/believer.rs
+++ b/crates/jackdawmux_front/src/process/believer.rs
@@ -68,6 +68,7 @@
 
     async fn handle(&mut self, message: LearnNews, _context: &mut Context<Self, ()>) {
         let LearnNews { topic, batch, is_whole } = message;
+        let was_registered = self.state.directory().is_registered();
         let position = batch.position;
         if is_whole {
             log::info!("event=list-read topic={topic} at={position} count={}", batch.news.len());
@@ -78,6 +79,11 @@
             }
         }
         self.settle();
+        let is_lost = was_registered && !self.state.directory().is_registered();
+        if is_lost && self.state.phase() == FrontPhase::Serving {
+            log::warn!("event=registration-lost instance={}", self.state.settings.instance);
+            self.state.registration_lost.notify_one();
+        }
     }
 }
 
--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -38,6 +38,8 @@
 const FAREWELLS: usize = 3;
 /// Time between them.
 const FAREWELL_PERIOD: Duration = Duration::from_millis(60);
+/// Time between looks for registrations of instances that are gone for good.
+const CLEAN_UP_PERIOD: Duration = Duration::from_secs(30);
 /// First pause after a failed registration; doubles up to the longest.
 const REGISTER_FIRST: Duration = Duration::from_millis(100);
 /// Longest pause between registrations that fail.
@@ -144,7 +146,9 @@
             capacity_permille: settings.capacity_permille,
             incarnation: state.incarnation,
         };
-        tasks.spawn(register(record, Arc::clone(&source)));
+        tasks.spawn(register(record, Arc::clone(&source), Arc::clone(&state)));
+        let ticks = timers.every(CLEAN_UP_PERIOD);
+        tasks.spawn(clean_up(ticks, Arc::clone(&source), Arc::clone(&state)));
         tasks.spawn(keep_up(timers.every(UPKEEP_PERIOD), believer.clone()));
         let ticks = timers.every(RELOAD_PERIOD);
         tasks.spawn(reload(state.settings.clone(), reader, hang_up, ticks, believer));
@@ -224,15 +228,37 @@
     socket.local_addr().context(BindSnafu { step: "heartbeat-listen", address })
 }
 
-/// Registers this instance; goes on trying while the store is away.
-async fn register(record: InstanceRecord, source: Arc<dyn FleetSource>) {
-    let mut pause = REGISTER_FIRST;
-    while let Err(error) = source.register(&record).await {
-        log::warn!("event=registration-failed {error}");
-        sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
-        pause = (pause * 2).min(REGISTER_LONGEST);
+/// Registers this instance, and again when its registration was removed while it serves; goes on
+/// trying while the store is away.
+async fn register(record: InstanceRecord, source: Arc<dyn FleetSource>, state: Arc<FrontState>) {
+    loop {
+        let mut pause = REGISTER_FIRST;
+        while let Err(error) = source.register(&record).await {
+            log::warn!("event=registration-failed {error}");
+            sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+            pause = (pause * 2).min(REGISTER_LONGEST);
+        }
+        log::info!("event=registered instance={}", record.name);
+        state.registration_lost.notified().await;
+    }
+}
+
+/// Removes registrations of instances that were taken away without a planned stop.
+async fn clean_up(
+    mut ticks: mpsc::Receiver<()>,
+    source: Arc<dyn FleetSource>,
+    state: Arc<FrontState>,
+) {
+    while ticks.recv().await.is_some() {
+        let abandoned = state.directory().abandoned(state.clock.now());
+        for name in abandoned {
+            log::warn!("event=registration-abandoned instance={name}");
+            // What fails is tried again with a later tick.
+            if let Err(error) = source.withdraw(&name).await {
+                log::warn!("event=withdrawal-failed instance={name} {error}");
+            }
+        }
     }
-    log::info!("event=registered instance={}", record.name);
 }
 
 async fn withdraw(state: &FrontState, source: &dyn FleetSource) {
--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -7,7 +7,7 @@
 use jackdawmux_policy::fleet::steering::FleetSteering;
 use jackdawmux_runtime::{ListenerLimits, ProcessClock, ProcessMetrics};
 use strum::{Display, FromRepr};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::contact::SourceContact;
 use super::settings::FrontSettings;
@@ -38,6 +38,8 @@
     pub(crate) limits: watch::Sender<ListenerLimits>,
     pub(crate) incarnation: u64,
     pub(crate) contact: Arc<SourceContact>,
+    /// This instance's registration was removed while it serves.
+    pub(crate) registration_lost: Notify,
     steering: Mutex<FleetSteering>,
     directory: Mutex<InstanceDirectory>,
     phase: AtomicU8,
@@ -64,6 +66,7 @@
             limits,
             incarnation: rand::random(),
             contact: Arc::default(),
+            registration_lost: Notify::new(),
             steering: Mutex::new(steering),
             directory: Mutex::new(directory),
             phase: AtomicU8::new(FrontPhase::Starting as u8),
--- a/crates/jackdawmux_policy/src/fleet/directory.rs
+++ b/crates/jackdawmux_policy/src/fleet/directory.rs
@@ -23,6 +23,10 @@
 /// and then, so one missing says nothing.
 const MISSING_LIMIT: u32 = 5;
 
+/// Time without a sign of life after which a registration is removed: far beyond any restart, so
+/// that only instances that were taken away for good lose their part of what is divided.
+const ABANDONED_AFTER: Duration = Duration::from_secs(600);
+
 /// A registered instance with its region.
 #[derive(Clone, Copy, Debug)]
 pub struct InstanceView<'view> {
@@ -46,6 +50,8 @@
     regions: Arc<BTreeMap<String, String>>,
     registered: BTreeMap<String, InstanceRecord>,
     heard: HashMap<String, HeardState>,
+    /// When registrations were first looked at, for those that were never heard of.
+    watched_since: HashMap<String, PolicyTime>,
     is_serving: bool,
 }
 
@@ -53,8 +59,14 @@
     /// A directory that knows nobody. `regions` maps failure domains to regions.
     #[must_use]
     pub fn new(own: &str, regions: Arc<BTreeMap<String, String>>) -> Self {
-        let (registered, heard) = (BTreeMap::new(), HashMap::new());
-        Self { own: own.to_owned(), regions, registered, heard, is_serving: false }
+        Self {
+            own: own.to_owned(),
+            regions,
+            registered: BTreeMap::new(),
+            heard: HashMap::new(),
+            watched_since: HashMap::new(),
+            is_serving: false,
+        }
     }
 
     /// Whether callers may be sent to this instance itself.
@@ -90,6 +102,45 @@
         }
     }
 
+    /// Whether this instance itself is registered.
+    #[must_use]
+    pub fn is_registered(&self) -> bool {
+        self.registered.contains_key(&self.own)
+    }
+
+    /// Instances of the own region whose registrations this instance is to remove, because they
+    /// gave no sign of life for long and it is the next one in the order of names that lives.
+    pub fn abandoned(&mut self, now: PolicyTime) -> Vec<String> {
+        self.watched_since.retain(|name, _| self.registered.contains_key(name));
+        for name in self.registered.keys() {
+            if !self.watched_since.contains_key(name) {
+                self.watched_since.insert(name.clone(), now);
+            }
+        }
+        let live = self.live(now);
+        let own_region = self.registered.get(&self.own).map(|own| self.region_of(&own.domain));
+        let neighbours: Vec<&InstanceRecord> = self
+            .registered
+            .values()
+            .filter(|record| Some(self.region_of(&record.domain)) == own_region)
+            .collect();
+        let is_live = |name: &str| live.iter().any(|view| view.record.name == name);
+        let is_mine = |place: usize| {
+            let mut following = neighbours.iter().cycle().skip(place + 1).take(neighbours.len());
+            following.find(|record| is_live(&record.name)).is_some_and(|next| next.name == self.own)
+        };
+        let abandoned = neighbours.iter().enumerate().filter(|(place, record)| {
+            record.name != self.own && self.is_silent(now, &record.name) && is_mine(*place)
+        });
+        abandoned.map(|(_, record)| record.name.clone()).collect()
+    }
+
+    fn is_silent(&self, now: PolicyTime, name: &str) -> bool {
+        let heard = self.heard.get(name).map(|heard| heard.at);
+        let sign = heard.max(self.watched_since.get(name).copied());
+        sign.is_some_and(|at| now.since(at) > ABANDONED_AFTER)
+    }
+
     /// Names of all registered instances, this one included; dead ones stay until they withdraw,
     /// so that a share divided by their number never grows by a death.
     #[must_use]
--- a/crates/jackdawmux_policy/tests/fleet_rules.rs
+++ b/crates/jackdawmux_policy/tests/fleet_rules.rs
@@ -401,6 +401,24 @@
     assert_eq!(directory.names().len(), 3);
 }
 
+#[test]
+fn a_registration_without_signs_of_life_is_removed_by_one() {
+    // In the order of names `one` is followed by `two`, and `two` by `one`.
+    let mut directory = directory();
+    assert!(directory.abandoned(at(0)).is_empty(), "nothing was watched for long");
+    assert!(directory.abandoned(at(599_000)).is_empty(), "ten minutes are not over");
+    assert_eq!(directory.abandoned(at(601_000)), ["two"], "not the one of another region");
+    directory.hear(at(601_500), "two", true);
+    assert!(directory.abandoned(at(602_000)).is_empty(), "it lives");
+    directory.register(instance("three", "a", 200));
+    directory.hear(at(1_205_000), "two", true);
+    assert!(directory.abandoned(at(1_205_500)).is_empty(), "`three` was only just noticed");
+    directory.hear(at(1_900_000), "two", true);
+    assert!(directory.abandoned(at(1_900_100)).is_empty(), "`three` is for `two` to remove");
+    directory.withdraw("two");
+    assert_eq!(directory.abandoned(at(1_900_200)), ["three"]);
+}
+
 #[test]
 fn callers_are_named_their_region_by_capacity() {
     let mut directory = directory();
