--- a/crates/jackdawmux_soak/src/child.rs
+++ b/crates/jackdawmux_soak/src/child.rs
@@ -27,6 +27,8 @@
         let log = File::options().create(true).append(true).open(log)?;
         let child = Command::new(program)
             .arg("front")
+            // The soak's own level; what fronts log at theirs is checked.
+            .env_remove("RUST_LOG")
             .arg("--node-file")
             .arg(settings)
             .stdin(Stdio::null())
