--- a/crates/jackdawmux_front/src/dialect.rs
+++ b/crates/jackdawmux_front/src/dialect.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use axum::http::{HeaderMap, HeaderValue, StatusCode};
+use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use jackdawmux_policy::fleet::choice::LoadReport;
 
 /// What a caller's request says of itself.
@@ -41,6 +41,30 @@
     pub region: String,
 }
 
+/// Value of a parameter in the query of a look-up.
+#[must_use]
+pub fn query_value<'query>(query: &'query str, name: &str) -> Option<&'query str> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find_map(|(found, value)| (found == name).then_some(value))
+}
+
+/// Marks a request to an endpoint: milliseconds that are left under `deadline`, and the endpoint
+/// that is meant under `meant`.
+pub fn insert_marks(
+    headers: &mut HeaderMap,
+    (deadline, time_left): (HeaderName, Duration),
+    (meant, endpoint): (HeaderName, &str),
+) {
+    let millis = u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(deadline, HeaderValue::from(millis));
+    match HeaderValue::from_str(endpoint) {
+        Ok(value) => {
+            headers.insert(meant, value);
+        }
+        Err(error) => log::warn!("event=endpoint-unnamed endpoint={endpoint:?} error={error}"),
+    }
+}
+
 /// Translation between the wire and the product's types.
 pub trait WireDialect: Send + Sync + std::fmt::Debug {
     /// Reads the headers of a caller's request.
