Soak: fronts end before their links

When a run ended its links went before its fronts, and the next endpoint of another run took the freed port while the front was still calling. Fronts are killed first now.

--- a/crates/jackdawmux_soak/src/fleet.rs
+++ b/crates/jackdawmux_soak/src/fleet.rs
@@ -205,6 +205,16 @@
         Ok(())
     }
 
+    /// Kills every front. Links and stand-ins end after them: their ports may soon belong to
+    /// another run, which a front that still lives would call.
+    pub fn end(&self) {
+        for front in &self.fronts {
+            if let Some(mut child) = front.lock().take() {
+                child.kill();
+            }
+        }
+    }
+
     /// The settings file of a front.
     pub fn settings_path(&self, index: usize) -> PathBuf {
         self.directory.join(format!("front-{index}.toml"))
--- a/crates/jackdawmux_soak/src/run.rs
+++ b/crates/jackdawmux_soak/src/run.rs
@@ -120,7 +120,7 @@
         stalled: stalled_time(&fleet),
         directory,
     };
-    drop(fleet);
+    fleet.end();
     if report.findings.is_empty() {
         std::fs::remove_dir_all(&report.directory)?;
     }
