A front that starts while its settings file is being written waits for it

The soak wrote the file in place while the front started; a platform may do so too. A start reads the file up to four times, 200 ms apart, and logs what was wrong; what stays wrong ends it as before, with every mistake. The soak replaces the file as a whole.

After: tests/fronts.rs a_front_that_starts_while_its_settings_are_written_waits_for_them; settings_that_stay_wrong ends with status 2.

--- a/crates/jackdawmux_entry/src/front/mod.rs
+++ b/crates/jackdawmux_entry/src/front/mod.rs
@@ -37,7 +37,7 @@
         Err(error) => return start_failed(2, format_args!("step=runtime error={error:?}")),
     };
     match front_parser().run() {
-        FrontFlags::Platform(flags) => match platform::read(&flags) {
+        FrontFlags::Platform(flags) => match platform::read_at_start(&flags) {
             Ok(settings) => runtime.block_on(run_platform(flags, settings)),
             Err(error) => start_failed(2, format_args!("{error}")),
         },
--- a/crates/jackdawmux_entry/src/front/platform.rs
+++ b/crates/jackdawmux_entry/src/front/platform.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bpaf::{Parser, construct, long};
 use jackdawmux_front::SourceError;
@@ -11,6 +12,11 @@
     read_settings,
 };
 
+/// Readings of the settings before a start is given up.
+const START_READS: usize = 4;
+/// Pause between them; writing such a file takes milliseconds.
+const START_PAUSE: Duration = Duration::from_millis(200);
+
 /// Flags of a front on the platform.
 #[derive(Clone, Debug)]
 pub(super) struct PlatformFlags {
@@ -31,8 +37,21 @@
     construct!(PlatformFlags { node_file, metrics_port })
 }
 
+/// Reads the settings for the start. A file that is being written may be read half; what is still
+/// wrong after a moment is a mistake.
+pub(super) fn read_at_start(flags: &PlatformFlags) -> Result<PlatformSettings, SettingsError> {
+    for _ in 1..START_READS {
+        match read(flags) {
+            Ok(settings) => return Ok(settings),
+            Err(error) => println!("level=WARN event=settings-unread {error}"),
+        }
+        std::thread::sleep(START_PAUSE);
+    }
+    read(flags)
+}
+
 /// Reads the settings that the flags name.
-pub(super) fn read(flags: &PlatformFlags) -> Result<PlatformSettings, SettingsError> {
+fn read(flags: &PlatformFlags) -> Result<PlatformSettings, SettingsError> {
     read_settings(&flags.node_file, flags.metrics_port)
 }
 
--- a/crates/jackdawmux_entry/tests/fronts.rs
+++ b/crates/jackdawmux_entry/tests/fronts.rs
@@ -2,8 +2,12 @@
 
 mod support;
 
-use std::process::Command;
+use std::io::{BufRead, BufReader};
+use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
 
+use jackdawmux_platform_standins::machine::MachineSite;
 use rstest::rstest;
 use rustix::process::Signal;
 use support::{ChildProcess, SystemSize, TestSystem, WAIT_LONGEST};
@@ -74,3 +78,56 @@
     assert_eq!(output.status.code(), Some(1), "{text}");
     assert!(text.contains("event=start-failed") && text.contains(reason), "{text}");
 }
+
+fn platform_front(settings: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_jackdawmux"));
+    command.arg("front").arg("--node-file").arg(settings);
+    command
+}
+
+fn settings_directory(name: &str) -> PathBuf {
+    let directory = std::env::temp_dir().join(format!("jackdawmux-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).expect("a directory for settings");
+    directory
+}
+
+#[test]
+fn a_front_that_starts_while_its_settings_are_written_waits_for_them() {
+    let directory = settings_directory("half-written");
+    let path = directory.join("front.toml");
+    std::fs::write(&path, "").expect("the file");
+    let mut child = platform_front(&path).stdout(Stdio::piped()).spawn().expect("it starts");
+    let mut lines = BufReader::new(child.stdout.take().expect("it is piped")).lines();
+    let first = lines.next().expect("a line").expect("text");
+    assert!(first.contains("event=settings-unread"), "{first}");
+    // The address is this test's alone, so the ports after a free one are free as well.
+    let ip = IpAddr::from([127, 76, 0, 1]);
+    let free = TcpListener::bind(SocketAddr::new(ip, 0)).and_then(|bound| bound.local_addr());
+    let site = MachineSite {
+        name: "front-1".to_owned(),
+        domain: "north-a".to_owned(),
+        ip,
+        port: free.expect("a free port").port(),
+        // Nothing answers there; the front serves nothing, but it lives.
+        store: SocketAddr::from(([127, 76, 0, 2], 1)),
+    };
+    let fresh = directory.join("front.toml.new");
+    std::fs::write(&fresh, site.settings(&[("north-a", "north")])).expect("the file");
+    std::fs::rename(&fresh, &path).expect("it is replaced");
+    let started = lines.any(|line| line.is_ok_and(|line| line.contains("event=started")));
+    child.kill().expect("the kill");
+    child.wait().expect("the end");
+    assert!(started, "it ended instead");
+}
+
+#[test]
+fn settings_that_stay_wrong_end_the_start_with_every_mistake() {
+    let path = settings_directory("wrong").join("front.toml");
+    std::fs::write(&path, "node = 7").expect("the file");
+    let output = platform_front(&path).output().expect("it runs");
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert_eq!(output.status.code(), Some(2), "{text}");
+    let last = text.lines().last().unwrap_or_default();
+    assert!(last.contains("event=start-failed"), "{text}");
+    assert!(last.contains("zone is missing") && last.contains("bounds.grace"), "{text}");
+}
--- a/crates/jackdawmux_soak/src/fleet.rs
+++ b/crates/jackdawmux_soak/src/fleet.rs
@@ -194,7 +194,7 @@
     pub fn start_front(&self, index: usize) -> io::Result<()> {
         let front = &self.fronts[index];
         let settings = self.settings_path(index);
-        std::fs::write(&settings, front.site.settings(&DOMAINS))?;
+        self.write_settings(index, &front.site.settings(&DOMAINS))?;
         let child = FrontChild::spawn(&self.program, &settings, &self.log_path(index))?;
         let mut slot = front.lock();
         let start = front.starts.fetch_add(1, Ordering::SeqCst) + 1;
@@ -215,11 +215,21 @@
         }
     }
 
-    /// The settings file of a front.
-    pub fn settings_path(&self, index: usize) -> PathBuf {
+    fn settings_path(&self, index: usize) -> PathBuf {
         self.directory.join(format!("front-{index}.toml"))
     }
 
+    /// Puts a settings file in place of a front's as a whole: a process that starts meanwhile reads
+    /// the old or the new one.
+    ///
+    /// # Errors
+    /// When the file cannot be written.
+    pub fn write_settings(&self, index: usize, text: &str) -> io::Result<()> {
+        let fresh = self.directory.join(format!("front-{index}.toml.new"));
+        std::fs::write(&fresh, text)?;
+        std::fs::rename(&fresh, self.settings_path(index))
+    }
+
     /// The log of a front, over all its starts.
     fn log_path(&self, index: usize) -> PathBuf {
         self.directory.join(format!("front-{index}.log"))
