Soak: a run that is stopped ends its fronts

Before: a stopped soak left its fronts. After: one with ten fronts, stopped by SIGTERM, leaves none.

--- a/crates/jackdawmux_entry/examples/soak.rs
+++ b/crates/jackdawmux_entry/examples/soak.rs
@@ -7,6 +7,7 @@
 
 use bpaf::{OptionParser, Parser, construct, long};
 use jackdawmux_soak::{SoakSize, run_seed};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
@@ -43,10 +44,27 @@
     Ok(directory.join("jackdawmux"))
 }
 
+/// Waits for the signal to stop. The return from `main` then ends every run, and with it the front
+/// processes; left alone they would go on calling ports that others get.
+async fn stop_asked() -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = terminate.recv() => Ok(()),
+        interrupted = tokio::signal::ctrl_c() => interrupted,
+    }
+}
+
 #[tokio::main]
 async fn main() -> std::io::Result<ExitCode> {
     env_logger::init();
     let flags = parser().run();
+    tokio::select! {
+        done = run_seeds(flags) => done,
+        stopped = stop_asked() => stopped.map(|()| ExitCode::FAILURE),
+    }
+}
+
+async fn run_seeds(flags: SoakFlags) -> std::io::Result<ExitCode> {
     let program = front_program()?;
     let size = SoakSize {
         fronts: flags.fronts,
