Soak: a reload changes the retry ratio alone

The soak wrote changed settings by replacing 0.2 everywhere, also in the address 127.77.0.243. The front refused the file while it ran and named each mistake at its next start, as it should. The changed file comes from the stand-in of the machine now.

--- a/crates/jackdawmux_soak/src/inject.rs
+++ b/crates/jackdawmux_soak/src/inject.rs
@@ -187,8 +187,7 @@
 
 fn reload_front(fleet: &SoakFleet, fault: PlannedFault) -> io::Result<()> {
     let front = front_of(fleet, fault);
-    let settings = fleet.fronts[front].site.settings(&DOMAINS);
-    fleet.write_settings(front, &settings.replace("0.2", "0.19"))?;
+    fleet.write_settings(front, &fleet.fronts[front].site.changed_settings(&DOMAINS))?;
     match fleet.fronts[front].lock().as_ref() {
         Some(child) => child.signal(Signal::HUP),
         None => Ok(()),
