Soak and process tests: one type of owned process, one copy of places and signals

Read once more: FrontChild of the soak and ChildProcess of the entry's tests had the same signal, kill and drop, and FrontChild::wait_end was called by nothing; both use OwnedChild now. Freezing and reloading a front signalled it in two copies, four faults worked out the same place. The soak named a header of the platform; the stand-in of the caller reads it. A comment on places said odd half.

--- a/crates/jackdawmux_entry/tests/support/mod.rs
+++ b/crates/jackdawmux_entry/tests/support/mod.rs
@@ -6,11 +6,12 @@
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Command, Output, Stdio};
 use std::time::Duration;
 
+use jackdawmux_soak::child::OwnedChild;
 use reqwest::Client;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use serde_json::Value;
 use tokio::time::{Instant, sleep};
 
@@ -34,9 +35,9 @@
     path
 }
 
-/// A child process that is killed with its handle.
+/// A child process that prints its address, killed with its handle.
 pub struct ChildProcess {
-    child: Child,
+    child: OwnedChild,
     pub address: SocketAddr,
     pub peer_address: Option<SocketAddr>,
 }
@@ -56,37 +57,19 @@
             word.and_then(|text| text.parse().ok())
         };
         let address = field("address=").unwrap_or_else(|| panic!("no address in {line:?}"));
-        Self { child, address, peer_address: field("peer=") }
+        Self { child: OwnedChild::from(child), address, peer_address: field("peer=") }
     }
 
     pub fn signal(&self, signal: Signal) {
-        let pid = i32::try_from(self.child.id()).expect("a process id");
-        kill_process(Pid::from_raw(pid).expect("a process id"), signal).expect("the signal");
+        self.child.signal(signal).expect("the signal");
     }
 
     pub fn kill(&mut self) {
-        self.child.kill().expect("the kill");
-        self.child.wait().expect("the end");
+        self.child.kill();
     }
 
     pub async fn wait_end(&mut self) -> bool {
-        let deadline = Instant::now() + WAIT_LONGEST;
-        while Instant::now() < deadline {
-            if let Some(status) = self.child.try_wait().expect("the state") {
-                return status.success();
-            }
-            sleep(LOOK_PAUSE).await;
-        }
-        false
-    }
-}
-
-impl Drop for ChildProcess {
-    fn drop(&mut self) {
-        // It may have ended already.
-        if self.child.kill().is_ok() {
-            let _status = self.child.wait();
-        }
+        self.child.wait_end(WAIT_LONGEST).await.is_some_and(|status| status.success())
     }
 }
 
--- a/crates/jackdawmux_soak/src/callers.rs
+++ b/crates/jackdawmux_soak/src/callers.rs
@@ -52,11 +52,11 @@
 #[derive(Debug)]
 pub struct SoakCaller {
     /// Number, part of the identities of its attempts.
-    pub number: usize,
+    number: usize,
     /// Fleet.
-    pub fleet: Arc<SoakFleet>,
+    fleet: Arc<SoakFleet>,
     /// Log.
-    pub log: Arc<CallerLog>,
+    log: Arc<CallerLog>,
     /// Draws what it asks for.
     random: StdRng,
     connection: Option<FrontConnection>,
--- a/crates/jackdawmux_soak/src/child.rs
+++ b/crates/jackdawmux_soak/src/child.rs
@@ -1,8 +1,8 @@
-//! A front as a process of its own.
+//! Processes that end with their handles, and fronts as such.
 
 use std::fs::File;
 use std::io;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
 
@@ -12,32 +12,38 @@
 /// Pause between looks at a process.
 const LOOK_PAUSE: Duration = Duration::from_millis(10);
 
-/// A running process, killed with its handle.
+/// A process that is killed with its handle.
 #[derive(Debug)]
-pub struct FrontChild {
+pub struct OwnedChild {
     child: Child,
 }
 
-impl FrontChild {
-    /// Starts a front. Its log goes on at the end of `log`.
-    ///
-    /// # Errors
-    /// When the process or its log cannot be opened.
-    pub fn spawn(program: &Path, settings: &Path, log: &PathBuf) -> io::Result<Self> {
-        let log = File::options().create(true).append(true).open(log)?;
-        let child = Command::new(program)
-            .arg("front")
-            // The soak's own level; what fronts log at theirs is checked.
-            .env_remove("RUST_LOG")
-            .arg("--node-file")
-            .arg(settings)
-            .stdin(Stdio::null())
-            .stderr(Stdio::from(log.try_clone()?))
-            .stdout(Stdio::from(log))
-            .spawn()?;
-        Ok(Self { child })
+/// Starts a front. Its log goes on at the end of `log`.
+///
+/// # Errors
+/// When the process or its log cannot be opened.
+pub fn spawn_front(program: &Path, settings: &Path, log: &Path) -> io::Result<OwnedChild> {
+    let log = File::options().create(true).append(true).open(log)?;
+    let child = Command::new(program)
+        .arg("front")
+        // The soak's own level; what fronts log at theirs is checked.
+        .env_remove("RUST_LOG")
+        .arg("--node-file")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stderr(Stdio::from(log.try_clone()?))
+        .stdout(Stdio::from(log))
+        .spawn()?;
+    Ok(OwnedChild::from(child))
+}
+
+impl From<Child> for OwnedChild {
+    fn from(child: Child) -> Self {
+        Self { child }
     }
+}
 
+impl OwnedChild {
     /// Sends a signal.
     ///
     /// # Errors
@@ -68,20 +74,20 @@
         }
     }
 
-    /// Waits up to `longest` for its end.
-    pub async fn wait_end(&mut self, longest: Duration) -> bool {
+    /// Waits up to `longest` for its end; none when it still runs then.
+    pub async fn wait_end(&mut self, longest: Duration) -> Option<ExitStatus> {
         let deadline = Instant::now() + longest;
         while Instant::now() < deadline {
-            if self.ended().is_some() {
-                return true;
+            if let Some(status) = self.ended() {
+                return Some(status);
             }
             sleep(LOOK_PAUSE).await;
         }
-        false
+        None
     }
 }
 
-impl Drop for FrontChild {
+impl Drop for OwnedChild {
     fn drop(&mut self) {
         self.kill();
     }
--- a/crates/jackdawmux_soak/src/fleet.rs
+++ b/crates/jackdawmux_soak/src/fleet.rs
@@ -14,7 +14,7 @@
 use jackdawmux_platform_standins::store::{StoreObject, StoreStandin};
 use tokio::time::{sleep, timeout};
 
-use crate::child::FrontChild;
+use crate::child::{OwnedChild, spawn_front};
 use crate::disturbance::DisturbanceLog;
 use crate::proxy::LinkProxy;
 use crate::record::{FrontLife, LeavingFact, VersionFact};
@@ -56,7 +56,7 @@
     /// Link to the store.
     pub store_link: LinkProxy,
     /// The process; none while it is down.
-    pub child: Mutex<Option<FrontChild>>,
+    pub child: Mutex<Option<OwnedChild>>,
     /// How often it has been started.
     pub starts: AtomicU64,
 }
@@ -68,7 +68,7 @@
     }
 
     /// The process.
-    pub fn lock(&self) -> MutexGuard<'_, Option<FrontChild>> {
+    pub fn lock(&self) -> MutexGuard<'_, Option<OwnedChild>> {
         self.child.lock().expect("no task panicked")
     }
 }
@@ -195,7 +195,7 @@
         let front = &self.fronts[index];
         let settings = self.settings_path(index);
         self.write_settings(index, &front.site.settings(&DOMAINS))?;
-        let child = FrontChild::spawn(&self.program, &settings, &self.log_path(index))?;
+        let child = spawn_front(&self.program, &settings, &self.log_path(index))?;
         let mut slot = front.lock();
         let start = front.starts.fetch_add(1, Ordering::SeqCst) + 1;
         let life =
@@ -254,7 +254,7 @@
         }
     }
 
-    /// Starts an endpoint and registers it. Places with an odd half belong to the second service.
+    /// Starts an endpoint and registers it. Odd places belong to the second service.
     ///
     /// # Errors
     /// When a port cannot be had.
@@ -309,8 +309,8 @@
 fn free_ports(ip: IpAddr) -> io::Result<u16> {
     loop {
         let first = TcpListener::bind(SocketAddr::new(ip, 0))?.local_addr()?.port();
-        let row = (0..MACHINE_PORTS).map(|step| first.checked_add(step));
-        let is_free = row.into_iter().all(|port| {
+        let mut row = (0..MACHINE_PORTS).map(|step| first.checked_add(step));
+        let is_free = row.all(|port| {
             port.is_some_and(|port| TcpListener::bind(SocketAddr::new(ip, port)).is_ok())
         });
         if is_free {
--- a/crates/jackdawmux_soak/src/inject.rs
+++ b/crates/jackdawmux_soak/src/inject.rs
@@ -61,6 +61,20 @@
     fault.target % fleet.fronts.len()
 }
 
+fn place_of(fleet: &SoakFleet, fault: PlannedFault) -> usize {
+    fault.target % fleet.places.len()
+}
+
+/// Signals a front that runs, and returns the number of its start; none when it is down.
+fn signal_running(fleet: &SoakFleet, front: usize, signal: Signal) -> io::Result<Option<u64>> {
+    let slot = fleet.fronts[front].lock();
+    let Some(child) = slot.as_ref() else {
+        return Ok(None);
+    };
+    child.signal(signal)?;
+    Ok(Some(fleet.fronts[front].start_count()))
+}
+
 async fn kill_front(fleet: &SoakFleet, fault: PlannedFault) -> io::Result<()> {
     let front = front_of(fleet, fault);
     let Some(mut child) = fleet.fronts[front].lock().take() else {
@@ -165,13 +179,8 @@
 
 async fn freeze_front(fleet: &SoakFleet, fault: PlannedFault) -> io::Result<()> {
     let front = front_of(fleet, fault);
-    let start = {
-        let slot = fleet.fronts[front].lock();
-        let Some(child) = slot.as_ref() else {
-            return Ok(());
-        };
-        child.signal(Signal::STOP)?;
-        fleet.fronts[front].start_count()
+    let Some(start) = signal_running(fleet, front, Signal::STOP)? else {
+        return Ok(());
     };
     let span = fleet.disturbances.begin(DisturbedPart::Front(front), fault.kind);
     sleep(fault.length).await;
@@ -188,10 +197,7 @@
 fn reload_front(fleet: &SoakFleet, fault: PlannedFault) -> io::Result<()> {
     let front = front_of(fleet, fault);
     fleet.write_settings(front, &fleet.fronts[front].site.changed_settings(&DOMAINS))?;
-    match fleet.fronts[front].lock().as_ref() {
-        Some(child) => child.signal(Signal::HUP),
-        None => Ok(()),
-    }
+    signal_running(fleet, front, Signal::HUP).map(|_start| ())
 }
 
 async fn harm_front_link(fleet: &SoakFleet, fault: PlannedFault) -> io::Result<()> {
@@ -208,8 +214,7 @@
 }
 
 async fn harm_endpoint_link(fleet: &SoakFleet, fault: PlannedFault) -> io::Result<()> {
-    let place = fault.target % fleet.places.len();
-    let endpoint = Arc::clone(&*fleet.places[place].lock().await);
+    let endpoint = Arc::clone(&*fleet.places[place_of(fleet, fault)].lock().await);
     let part = DisturbedPart::Endpoint(endpoint.standin.id.clone());
     let span = fleet.disturbances.begin(part, fault.kind);
     endpoint.link.harm(fault.harm);
@@ -236,8 +241,7 @@
 }
 
 async fn spoil_endpoint(fleet: &SoakFleet, fault: PlannedFault) -> io::Result<()> {
-    let place = fault.target % fleet.places.len();
-    let endpoint = Arc::clone(&*fleet.places[place].lock().await);
+    let endpoint = Arc::clone(&*fleet.places[place_of(fleet, fault)].lock().await);
     let part = DisturbedPart::Endpoint(endpoint.standin.id.clone());
     let span = fleet.disturbances.begin(part, fault.kind);
     endpoint.standin.behave(fault.behaviour);
@@ -248,7 +252,7 @@
 }
 
 async fn drain_endpoint(fleet: &SoakFleet, fault: PlannedFault) -> io::Result<()> {
-    let place = fault.target % fleet.places.len();
+    let place = place_of(fleet, fault);
     // Another fault replaces the endpoint of this place already.
     let Ok(mut slot) = fleet.places[place].try_lock() else {
         return Ok(());
@@ -265,7 +269,7 @@
 }
 
 async fn crash_endpoint(fleet: &SoakFleet, fault: PlannedFault) -> io::Result<()> {
-    let place = fault.target % fleet.places.len();
+    let place = place_of(fleet, fault);
     let Ok(mut slot) = fleet.places[place].try_lock() else {
         return Ok(());
     };
--- a/crates/jackdawmux_soak/src/verdict/requests.rs
+++ b/crates/jackdawmux_soak/src/verdict/requests.rs
@@ -68,7 +68,7 @@
             let Some(answer) = request.answer().filter(|_| request.status() / 100 == 2) else {
                 continue;
             };
-            let is_echoed = answer.header("x-attempt-id") == request.attempt;
+            let is_echoed = answer.attempt() == request.attempt;
             let is_own = answer.body().ends_with(&format!(" for {}", request.attempt));
             if !(answer.is_signed() && is_echoed && is_own) {
                 let detail = format!("{} got {:?}", request.attempt, answer.text);
