front: a waiting watch that is never answered is noticed

Change: the source is checked by a cheap stale read whenever it has not replied for 1.5 s; a failure interrupts all watches, which then list. Heartbeats state the newest change applied by topic; a watch that waits while a peer is ahead for 500 ms is replaced by a list (policy::fleet::freshness). Positions become (era, revision) in the types; eras stay 0 here.

--- a/crates/jackdawmux_front/src/lib.rs
+++ b/crates/jackdawmux_front/src/lib.rs
@@ -12,4 +12,6 @@
 
 pub use dialect::{LookupQuery, RequestHeaders, ResponseHeaders, WireDialect};
 pub use process::{FrontError, FrontProcess, FrontSettings};
-pub use source::{FleetSource, FleetUpdate, SourceError, SourceErrorKind, UpdateBatch, WatchTopic};
+pub use source::{
+    FleetSource, FleetUpdate, SourceError, SourceErrorKind, SourcePosition, UpdateBatch, WatchTopic,
+};
--- a/crates/jackdawmux_front/src/process/connectivity.rs
+++ b/crates/jackdawmux_front/src/process/connectivity.rs
@@ -3,8 +3,16 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::{Semaphore, SemaphorePermit};
-use tokio::time::Instant;
+use tokio::sync::{Semaphore, SemaphorePermit, watch};
+use tokio::time::{Instant, sleep};
+
+use crate::source::FleetSource;
+
+/// Maximum time without a reply of the source after which it is checked. A watch that waits does
+/// not show whether the source still answers.
+const CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Time limit of a check.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ConnectivityState {
@@ -24,11 +32,20 @@
 pub(crate) struct SourceConnectivity {
     state: Mutex<ConnectivityState>,
     probe: Semaphore,
+    replied_at: Mutex<Option<Instant>>,
+    /// Number of outages and eras so far. A call that was waiting when one began may never be
+    /// answered, or from another history.
+    interruptions: watch::Sender<u64>,
 }
 
 impl Default for SourceConnectivity {
     fn default() -> Self {
-        Self { state: Mutex::new(ConnectivityState::Unknown), probe: Semaphore::new(1) }
+        Self {
+            state: Mutex::new(ConnectivityState::Unknown),
+            probe: Semaphore::new(1),
+            replied_at: Mutex::default(),
+            interruptions: watch::Sender::new(0),
+        }
     }
 }
 
@@ -46,6 +63,7 @@
 
     /// Records an answered call. Returns the length of the outage if this call ended one.
     pub(crate) fn record_success(&self) -> Option<Duration> {
+        *self.replied_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
         let mut state = self.lock();
         match *state {
             ConnectivityState::Connected(_) => None,
@@ -60,16 +78,29 @@
         }
     }
 
-    /// Records a failed call. Returns whether it started an outage.
+    /// Records a failed call and interrupts the calls that wait. Returns whether it started an
+    /// outage.
     pub(crate) fn record_failure(&self) -> bool {
         let mut state = self.lock();
         if matches!(*state, ConnectivityState::Disconnected(_)) {
             return false;
         }
         *state = ConnectivityState::Disconnected(Instant::now());
+        drop(state);
+        self.interrupt();
         true
     }
 
+    /// Interrupts the calls that wait.
+    pub(crate) fn interrupt(&self) {
+        self.interruptions.send_modify(|count| *count += 1);
+    }
+
+    /// Subscribes to interruptions from now on.
+    pub(crate) fn interruptions(&self) -> watch::Receiver<u64> {
+        self.interruptions.subscribe()
+    }
+
     /// How long the source has answered every call; none while it is unreachable or not yet called.
     pub(crate) fn connected_for(&self) -> Option<Duration> {
         match *self.lock() {
@@ -78,6 +109,29 @@
         }
     }
 
+    /// Checks the source whenever it has not replied for `CHECK_INTERVAL`, until the process ends.
+    pub(crate) async fn check_periodically(&self, source: &dyn FleetSource) {
+        loop {
+            let replied_at = *self.replied_at.lock().unwrap_or_else(PoisonError::into_inner);
+            let idle = replied_at.map_or(Duration::ZERO, |at| at.elapsed());
+            if idle < CHECK_INTERVAL || self.connected_for().is_none() {
+                sleep(CHECK_INTERVAL.saturating_sub(idle).max(CHECK_INTERVAL / 10)).await;
+                continue;
+            }
+            let reason = match tokio::time::timeout(CHECK_TIMEOUT, source.check()).await {
+                Ok(Ok(())) => {
+                    self.record_success();
+                    continue;
+                }
+                Ok(Err(error)) => error.to_string(),
+                Err(_elapsed) => "step=check fault=no-answer".to_owned(),
+            };
+            if self.record_failure() {
+                log::warn!("event=dependency-lost dependency=store {reason}");
+            }
+        }
+    }
+
     fn is_disconnected(&self) -> bool {
         matches!(*self.lock(), ConnectivityState::Disconnected(_))
     }
--- a/crates/jackdawmux_front/src/process/heartbeat.rs
+++ b/crates/jackdawmux_front/src/process/heartbeat.rs
@@ -10,21 +10,24 @@
 use std::time::Duration;
 
 use jackdawmux_policy::fleet::crash_record::SharedCrashes;
+use jackdawmux_policy::fleet::freshness::NewestChanges;
 use kameo::actor::ActorRef;
 use serde::de::{Error as _, SeqAccess, Visitor};
 use serde::ser::SerializeTuple;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use strum::EnumCount;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 use super::state::{FrontPhase, FrontState};
 use super::state_actor::{HeartbeatReceived, StateActor};
+use crate::source::{SourcePosition, WatchTopic};
 
 /// Largest heartbeat and size of the receive buffer, in bytes; fits a name of 255 bytes and the
 /// crashes.
 const MAX_HEARTBEAT_BYTES: usize = 512;
 /// Elements of an encoded heartbeat.
-const HEARTBEAT_ELEMENTS: usize = 4;
+const HEARTBEAT_ELEMENTS: usize = 5;
 
 /// State that an instance sends to the others at regular intervals.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,6 +41,9 @@
     pub source_connected_ms: u64,
     /// Requests that crashed endpoints, with the number of crashes that the sender observed.
     pub crashes: SharedCrashes,
+    /// Newest change that the sender has applied, by topic; zeros from a sender that does not state
+    /// them.
+    pub newest_changes: NewestChanges,
 }
 
 impl Serialize for Heartbeat {
@@ -47,6 +53,8 @@
         tuple.serialize_element(&self.is_serving)?;
         tuple.serialize_element(&self.source_connected_ms)?;
         tuple.serialize_element(&self.crashes)?;
+        tuple
+            .serialize_element(&self.newest_changes.map(|change| (change.era, change.revision)))?;
         tuple.end()
     }
 }
@@ -63,7 +71,7 @@
     type Value = Heartbeat;
 
     fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("a heartbeat of four elements")
+        formatter.write_str("a heartbeat of four or five elements")
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut elements: A) -> Result<Heartbeat, A::Error> {
@@ -72,7 +80,11 @@
         let is_serving = elements.next_element()?.ok_or_else(|| missing(1))?;
         let source_connected_ms = elements.next_element()?.ok_or_else(|| missing(2))?;
         let crashes = elements.next_element()?.ok_or_else(|| missing(3))?;
-        Ok(Heartbeat { instance, is_serving, source_connected_ms, crashes })
+        // Instances of earlier releases send four elements.
+        let positions: [(u64, u64); WatchTopic::COUNT] =
+            elements.next_element()?.unwrap_or_default();
+        let newest_changes = positions.map(|(era, revision)| SourcePosition { era, revision });
+        Ok(Heartbeat { instance, is_serving, source_connected_ms, crashes, newest_changes })
     }
 }
 
@@ -103,6 +115,7 @@
         crashes: state.steering().crashes().shared(state.clock.now()),
         source_connected_ms: connected
             .map_or(0, |span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX)),
+        newest_changes: state.freshness().applied(),
     };
     let bytes = match encode_heartbeat(&heartbeat) {
         Ok(bytes) => bytes,
--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -130,13 +130,16 @@
         for topic in WatchTopic::iter() {
             let watcher = TopicWatcher {
                 source: Arc::clone(&source),
-                connectivity: Arc::clone(&state.connectivity),
                 state_actor: state_actor.clone(),
                 topic,
                 update_deadline: settings.bounds.update_deadline,
+                state: Arc::clone(&state),
             };
             tasks.spawn(watcher.run());
         }
+        let connectivity = Arc::clone(&state.connectivity);
+        let checked = Arc::clone(&source);
+        tasks.spawn(async move { connectivity.check_periodically(checked.as_ref()).await });
         tasks.spawn(heartbeat::receive_heartbeats(Arc::clone(&socket), state_actor.clone()));
         tasks.spawn(heartbeat::send_periodically(Arc::clone(&state), Arc::clone(&socket)));
         let record = InstanceRecord {
--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -4,14 +4,16 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use jackdawmux_policy::fleet::directory::InstanceDirectory;
+use jackdawmux_policy::fleet::freshness::FreshnessTracker;
 use jackdawmux_policy::fleet::steering::FleetSteering;
 use jackdawmux_runtime::{ListenerLimits, ProcessClock, ProcessMetrics};
-use strum::{Display, FromRepr};
+use strum::{Display, EnumCount, FromRepr};
 use tokio::sync::{Notify, watch};
 
 use super::connectivity::SourceConnectivity;
 use super::settings::FrontSettings;
 use crate::dialect::WireDialect;
+use crate::source::WatchTopic;
 use crate::upstream::UpstreamPool;
 
 /// Phase in the life cycle of the process.
@@ -40,7 +42,10 @@
     pub(crate) connectivity: Arc<SourceConnectivity>,
     /// Notified when this instance's registration is removed while it serves.
     pub(crate) registration_lost: Notify,
+    /// Notified when a peer has applied an update of a topic that this instance has not.
+    pub(crate) is_behind: [Notify; WatchTopic::COUNT],
     steering: Mutex<FleetSteering>,
+    freshness: Mutex<FreshnessTracker>,
     directory: Mutex<InstanceDirectory>,
     phase: AtomicU8,
 }
@@ -67,7 +72,9 @@
             incarnation: rand::random(),
             connectivity: Arc::default(),
             registration_lost: Notify::new(),
+            is_behind: Default::default(),
             steering: Mutex::new(steering),
+            freshness: Mutex::default(),
             directory: Mutex::new(directory),
             phase: AtomicU8::new(FrontPhase::Starting as u8),
             settings,
@@ -79,6 +86,11 @@
         self.steering.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the record of the changes that this instance and its peers have applied.
+    pub(crate) fn freshness(&self) -> MutexGuard<'_, FreshnessTracker> {
+        self.freshness.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the directory of instances.
     pub(crate) fn directory(&self) -> MutexGuard<'_, InstanceDirectory> {
         self.directory.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -12,10 +12,11 @@
 use jackdawmux_runtime::ListenerLimits;
 use kameo::Actor;
 use kameo::message::{Context, Message};
+use strum::IntoEnumIterator;
 
 use super::heartbeat::Heartbeat;
 use super::state::{FrontPhase, FrontState};
-use crate::source::{FleetUpdate, UpdateBatch, WatchTopic};
+use crate::source::{FleetUpdate, SourcePosition, UpdateBatch, WatchTopic};
 
 /// File descriptors reserved for files, listeners, the store and upstreams; callers' connections
 /// get the others.
@@ -26,6 +27,10 @@
 /// request leave many idle ones.
 const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// Time for which a peer may be ahead before the source is asked again: the instances read each
+/// change at slightly different times.
+const BEHIND_GRACE: Duration = Duration::from_millis(500);
+
 /// The only task that applies updates to the fleet state.
 #[derive(Actor, Debug)]
 pub(crate) struct StateActor {
@@ -73,6 +78,7 @@
         let ApplyUpdates { topic, batch, is_full_list } = message;
         let was_registered = self.state.directory().is_registered();
         let position = batch.position;
+        let newest = SourcePosition { era: position.era, revision: batch.newest_revision };
         if is_full_list {
             log::info!("event=list-read topic={topic} at={position} count={}", batch.updates.len());
             self.apply_list(topic, batch);
@@ -81,6 +87,7 @@
                 self.apply_update(update, position);
             }
         }
+        self.state.freshness().record_applied(topic, newest);
         self.refresh_phase();
         let is_lost = was_registered && !self.state.directory().is_registered();
         if is_lost && self.state.phase() == FrontPhase::Serving {
@@ -110,6 +117,11 @@
         let mut steering = self.state.steering();
         steering.record_peer_source_connection(now, connected);
         steering.crashes_mut().apply_peer_crashes(now, &heartbeat.instance, &heartbeat.crashes);
+        drop(steering);
+        let mut freshness = self.state.freshness();
+        for (topic, newest) in WatchTopic::iter().zip(heartbeat.newest_changes) {
+            freshness.record_peer(now, topic, newest);
+        }
     }
 }
 
@@ -124,6 +136,12 @@
             self.state.pool.close_idle(EndpointKey::of(&id));
         }
         self.state.pool.close_expired();
+        let mut freshness = self.state.freshness();
+        for topic in WatchTopic::iter() {
+            if freshness.take_behind(now, topic, BEHIND_GRACE) {
+                self.state.is_behind[topic as usize].notify_one();
+            }
+        }
     }
 }
 
@@ -176,7 +194,7 @@
         }
     }
 
-    fn apply_update(&self, update: FleetUpdate, position: u64) {
+    fn apply_update(&self, update: FleetUpdate, position: SourcePosition) {
         let now = self.state.clock.now();
         match update {
             FleetUpdate::Config(config) => self.apply_config(*config, position),
@@ -206,7 +224,7 @@
         }
     }
 
-    fn apply_config(&self, config: ConfigRecord, position: u64) {
+    fn apply_config(&self, config: ConfigRecord, position: SourcePosition) {
         let (version, limits) = (config.version, config.limits);
         let (routes, services) = (config.routes.len(), config.services.len());
         if !self.state.steering().apply_config(config) {
@@ -232,7 +250,7 @@
         });
     }
 
-    fn set_evacuated(&self, domain: &str, is_evacuated: bool, position: u64) {
+    fn set_evacuated(&self, domain: &str, is_evacuated: bool, position: SourcePosition) {
         let now = self.state.clock.now();
         self.state.steering().set_evacuated(now, domain, is_evacuated);
         log::info!(
@@ -241,7 +259,7 @@
         );
     }
 
-    fn handle_endpoint_change(&self, id: &str, change: EndpointChange, position: u64) {
+    fn handle_endpoint_change(&self, id: &str, change: EndpointChange, position: SourcePosition) {
         match change {
             EndpointChange::Same | EndpointChange::Updated => return,
             EndpointChange::Left | EndpointChange::Draining | EndpointChange::Restarted => {
--- a/crates/jackdawmux_front/src/process/watcher.rs
+++ b/crates/jackdawmux_front/src/process/watcher.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jackdawmux_policy::fleet::watch_cursor::{CallOutcome, SourceCall, WatchCursor};
+use jackdawmux_policy::fleet::watch_cursor::{CallOutcome, ReplyUse, SourceCall, WatchCursor};
 use kameo::actor::ActorRef;
 use tokio::time::sleep;
 
-use super::connectivity::SourceConnectivity;
+use super::state::FrontState;
 use super::state_actor::{ApplyUpdates, SourceRecovered, StateActor};
 use crate::source::{FleetSource, SourceError, SourceErrorKind, UpdateBatch, WatchTopic};
 
@@ -31,11 +31,23 @@
 /// Watches one topic until the process ends.
 pub(crate) struct TopicWatcher {
     pub(crate) source: Arc<dyn FleetSource>,
-    pub(crate) connectivity: Arc<SourceConnectivity>,
     pub(crate) state_actor: ActorRef<StateActor>,
     pub(crate) topic: WatchTopic,
     /// Time within which an update must be applied.
     pub(crate) update_deadline: Duration,
+    /// The changes that this instance and its peers have applied, and the notification that a peer
+    /// is ahead.
+    pub(crate) state: Arc<FrontState>,
+}
+
+/// How a call to the source ended.
+enum CallEnd {
+    /// With a reply or an error.
+    Returned(Result<UpdateBatch, SourceError>),
+    /// Another call showed that this one may never be answered.
+    Interrupted,
+    /// A peer is ahead.
+    Behind,
 }
 
 impl TopicWatcher {
@@ -43,45 +55,73 @@
         let mut cursor = WatchCursor::default();
         let mut backoff = INITIAL_BACKOFF;
         loop {
-            let probe = self.connectivity.acquire_probe().await;
+            let probe = self.state.connectivity.acquire_probe().await;
             if probe.is_some() {
-                cursor.probe();
+                cursor.restart();
             }
             let call = cursor.next();
             match self.execute(call).await {
-                Ok(batch) => {
+                CallEnd::Returned(Ok(batch)) => {
                     backoff = INITIAL_BACKOFF;
                     self.record_success().await;
                     drop(probe);
-                    let is_empty = batch.updates.is_empty();
-                    cursor
-                        .record(call, CallOutcome::Answered { position: batch.position, is_empty });
-                    if !self.deliver(batch, call == SourceCall::List).await {
-                        return;
+                    let (position, is_empty) = (batch.position, batch.updates.is_empty());
+                    let outcome = CallOutcome::Answered { position, is_empty };
+                    match cursor.record(call, outcome) {
+                        ReplyUse::Apply if !self.deliver(batch, call == SourceCall::List).await => {
+                            return;
+                        }
+                        ReplyUse::Apply => {}
+                        ReplyUse::Discard => {
+                            log::info!("event=reply-discarded topic={} at={position}", self.topic);
+                        }
                     }
                 }
-                Err(error) if error.kind == SourceErrorKind::HistoryGone => {
+                CallEnd::Returned(Err(error)) if error.kind == SourceErrorKind::HistoryGone => {
                     self.record_success().await;
                     log::info!("event=history-gone topic={} {error}", self.topic);
-                    cursor.record(call, CallOutcome::HistoryGone);
+                    let _discarded = cursor.record(call, CallOutcome::HistoryGone);
                 }
-                Err(error) => {
-                    cursor.record(call, CallOutcome::Failed);
+                CallEnd::Returned(Err(error)) => {
+                    let _discarded = cursor.record(call, CallOutcome::Failed);
                     self.record_failure(&error);
                     sleep(backoff.mul_f64(rand::random_range(0.5..1.0))).await;
                     backoff = (backoff * 2).min(MAX_BACKOFF);
                 }
+                CallEnd::Interrupted => {
+                    let _discarded = cursor.record(call, CallOutcome::Failed);
+                }
+                CallEnd::Behind => {
+                    log::info!("event=peer-ahead topic={}", self.topic);
+                    cursor.restart();
+                }
             }
         }
     }
 
-    async fn execute(&self, call: SourceCall) -> Result<UpdateBatch, SourceError> {
-        match call {
-            SourceCall::List => self.source.list(self.topic).await,
-            SourceCall::Watch { position } => {
-                self.source.watch(self.topic, position, WATCH_TIMEOUT).await
+    async fn execute(&self, call: SourceCall) -> CallEnd {
+        let mut interruptions = self.state.connectivity.interruptions();
+        let returned = async {
+            match call {
+                SourceCall::List => self.source.list(self.topic).await,
+                SourceCall::Watch { position } => {
+                    self.source.watch(self.topic, position, WATCH_TIMEOUT).await
+                }
             }
+        };
+        // A list returns all changes; only a watch can miss one without failing.
+        let is_waiting = matches!(call, SourceCall::Watch { .. });
+        if is_waiting {
+            self.state.freshness().start_call(self.state.clock.now(), self.topic);
         }
+        let end = tokio::select! {
+            biased;
+            result = returned => CallEnd::Returned(result),
+            _ = interruptions.changed() => CallEnd::Interrupted,
+            () = self.state.is_behind[self.topic as usize].notified(), if is_waiting => CallEnd::Behind,
+        };
+        self.state.freshness().end_call(self.topic);
+        end
     }
 
     async fn deliver(&self, batch: UpdateBatch, is_full_list: bool) -> bool {
@@ -97,7 +137,7 @@
     }
 
     async fn record_success(&self) {
-        let Some(outage) = self.connectivity.record_success() else {
+        let Some(outage) = self.state.connectivity.record_success() else {
             return;
         };
         log::info!(
@@ -112,7 +152,7 @@
     }
 
     fn record_failure(&self, error: &SourceError) {
-        if self.connectivity.record_failure() {
+        if self.state.connectivity.record_failure() {
             log::warn!("event=dependency-lost dependency=store topic={} {error}", self.topic);
         }
     }
--- a/crates/jackdawmux_front/src/source.rs
+++ b/crates/jackdawmux_front/src/source.rs
@@ -3,23 +3,10 @@
 use std::pin::Pin;
 use std::time::Duration;
 
+pub use jackdawmux_policy::fleet::position::{SourcePosition, WatchTopic};
 use jackdawmux_policy::fleet::record::{ConfigRecord, EndpointRecord, InstanceRecord};
 use snafu::Snafu;
-use strum::{Display, EnumIter};
-
-/// Kinds of updates; each is listed and watched separately.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumIter)]
-#[strum(serialize_all = "kebab-case")]
-pub enum WatchTopic {
-    /// The operator's configuration.
-    Config,
-    /// Registered endpoints.
-    Endpoints,
-    /// Failure domains that are being evacuated.
-    Evacuations,
-    /// Instances of this system.
-    Instances,
-}
+use strum::Display;
 
 /// One change to the fleet state.
 #[derive(Clone, Debug, PartialEq)]
@@ -46,7 +33,9 @@
     /// The updates, in the order in which they are applied.
     pub updates: Vec<FleetUpdate>,
     /// Position in the source's history after these updates.
-    pub position: u64,
+    pub position: SourcePosition,
+    /// Revision of the newest change among the updates; zero if there is none.
+    pub newest_revision: u64,
 }
 
 /// Why a call to the source failed.
@@ -91,10 +80,13 @@
     fn watch(
         &self,
         topic: WatchTopic,
-        position: u64,
+        position: SourcePosition,
         wait: Duration,
     ) -> SourceFuture<'_, UpdateBatch>;
 
+    /// Checks cheaply whether the source answers calls; the data that it replies with may be old.
+    fn check(&self) -> SourceFuture<'_, ()>;
+
     /// Registers an instance, or replaces its registration.
     fn register<'call>(&'call self, record: &'call InstanceRecord) -> SourceFuture<'call, ()>;
 
--- a/crates/jackdawmux_front/tests/heartbeats.rs
+++ b/crates/jackdawmux_front/tests/heartbeats.rs
@@ -1,5 +1,6 @@
 //! Heartbeats round-trip through their encoding, and no received bytes cause a panic.
 
+use jackdawmux_front::SourcePosition;
 use jackdawmux_front::process::{Heartbeat, decode_heartbeat, encode_heartbeat};
 use proptest::prelude::*;
 
@@ -16,9 +17,11 @@
         is_serving in any::<bool>(),
         source_connected_ms in any::<u64>(),
         crashes in prop::collection::vec(any::<(u64, u32)>(), 0..8),
+        positions in any::<[(u64, u64); 4]>(),
     ) {
+        let newest_changes = positions.map(|(era, revision)| SourcePosition { era, revision });
         let crashes = crashes.into_iter().collect();
-        let heartbeat = Heartbeat { instance, is_serving, source_connected_ms, crashes };
+        let heartbeat = Heartbeat { instance, is_serving, source_connected_ms, crashes, newest_changes };
         let bytes = encode_heartbeat(&heartbeat).expect("the heartbeat is encoded");
         prop_assert!(bytes.len() <= 512, "{} bytes", bytes.len());
         prop_assert_eq!(decode_heartbeat(&bytes).expect("the heartbeat is decoded"), heartbeat);
@@ -38,6 +41,7 @@
             is_serving: true,
             source_connected_ms: 1_000,
             crashes: std::iter::once((9, 1)).collect(),
+            newest_changes: Default::default(),
         };
         let bytes = encode_heartbeat(&heartbeat).expect("the heartbeat is encoded");
         prop_assert!(decode_heartbeat(&bytes[..bytes.len() - cut.min(bytes.len())]).is_err());
--- a/crates/jackdawmux_native/src/source.rs
+++ b/crates/jackdawmux_native/src/source.rs
@@ -5,7 +5,7 @@
 
 use jackdawmux_front::source::SourceFuture;
 use jackdawmux_front::{
-    FleetSource, FleetUpdate, SourceError, SourceErrorKind, UpdateBatch, WatchTopic,
+    FleetSource, FleetUpdate, SourceError, SourceErrorKind, SourcePosition, UpdateBatch, WatchTopic,
 };
 use jackdawmux_policy::fleet::record::InstanceRecord;
 use jackdawmux_rules::{FleetRules, parse_rules, render_diagnostics};
@@ -69,7 +69,7 @@
 
     async fn list_rules(&self, topic: WatchTopic) -> Result<UpdateBatch, SourceError> {
         let Some((rules, position)) = self.read_fleet_rules().await? else {
-            return Ok(UpdateBatch { updates: Vec::new(), position: 0 });
+            return Ok(batch(Vec::new(), 0));
         };
         let updates = match topic {
             WatchTopic::Config => vec![FleetUpdate::Config(Box::new(rules.config))],
@@ -81,14 +81,14 @@
             }
             WatchTopic::Instances => Vec::new(),
         };
-        Ok(UpdateBatch { updates, position })
+        Ok(batch(updates, position))
     }
 
     async fn list_instances(&self) -> Result<UpdateBatch, SourceError> {
         let read = InstanceTable::read(self.store.as_ref()).await;
         let (table, position) = read.map_err(|error| self.read_error(&error))?;
         let updates = table.records().into_iter().map(FleetUpdate::Instance).collect();
-        Ok(UpdateBatch { updates, position })
+        Ok(batch(updates, position))
     }
 
     async fn list_topic(&self, topic: WatchTopic) -> Result<UpdateBatch, SourceError> {
@@ -106,13 +106,13 @@
     async fn watch_topic(
         &self,
         topic: WatchTopic,
-        position: u64,
+        position: SourcePosition,
         wait: Duration,
     ) -> Result<UpdateBatch, SourceError> {
         let key = if topic == WatchTopic::Instances { INSTANCES_KEY } else { HEAD_KEY };
-        let watched = self.store.watch(key, position, wait).await;
+        let watched = self.store.watch(key, position.revision, wait).await;
         match watched.map_err(|error| self.read_error(&error))? {
-            None => Ok(UpdateBatch { updates: Vec::new(), position }),
+            None => Ok(batch(Vec::new(), position.revision)),
             Some(object) => {
                 let reason = format!("object replaced by version {}", object.version);
                 Err(self.error("watch", SourceErrorKind::HistoryGone, reason))
@@ -129,12 +129,19 @@
     fn watch(
         &self,
         topic: WatchTopic,
-        position: u64,
+        position: SourcePosition,
         wait: Duration,
     ) -> SourceFuture<'_, UpdateBatch> {
         Box::pin(self.watch_topic(topic, position, wait))
     }
 
+    fn check(&self) -> SourceFuture<'_, ()> {
+        Box::pin(async {
+            let head = read_head(self.store.as_ref()).await;
+            head.map(|_head| ()).map_err(|error| self.read_error(&error))
+        })
+    }
+
     fn register<'call>(&'call self, record: &'call InstanceRecord) -> SourceFuture<'call, ()> {
         Box::pin(async move {
             let updated = update_table(self.store.as_ref(), |table| table.insert(record)).await;
@@ -149,3 +156,9 @@
         })
     }
 }
+
+/// Updates as of a version of the object that holds them. The store keeps one history.
+const fn batch(updates: Vec<FleetUpdate>, version: u64) -> UpdateBatch {
+    let position = SourcePosition::first_era(version);
+    UpdateBatch { updates, position, newest_revision: version }
+}
--- a/crates/jackdawmux_policy/src/fleet/watch_cursor.rs
+++ b/crates/jackdawmux_policy/src/fleet/watch_cursor.rs
@@ -1,5 +1,7 @@
 //! Chooses the next call to the update source from the outcomes of earlier calls.
 
+use super::position::SourcePosition;
+
 /// A call to the update source.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum SourceCall {
@@ -8,7 +10,7 @@
     /// Waits for updates after a position.
     Watch {
         /// Position in the source's history.
-        position: u64,
+        position: SourcePosition,
     },
 }
 
@@ -18,7 +20,7 @@
     /// The source replied.
     Answered {
         /// Position in the source's history that the reply reports.
-        position: u64,
+        position: SourcePosition,
         /// Whether the reply contained no updates.
         is_empty: bool,
     },
@@ -28,10 +30,22 @@
     Failed,
 }
 
+/// What to do with the updates of a reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[must_use]
+pub enum ReplyUse {
+    /// Apply them.
+    Apply,
+    /// Ignore them: they belong to another era than the position from which they were read.
+    Discard,
+}
+
 /// Position of one topic in the source's history.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct WatchCursor {
-    position: Option<u64>,
+    position: Option<SourcePosition>,
+    /// Highest era that any reply has reported.
+    era: u64,
 }
 
 impl WatchCursor {
@@ -44,22 +58,51 @@
         }
     }
 
-    /// Makes the next call a list, to check whether the source has recovered from an outage. A
-    /// watch returns only when something changes, so it cannot show that the source has recovered.
-    pub const fn probe(&mut self) {
+    /// Makes the next call a list: to check whether the source has recovered from an outage, or
+    /// because updates are known to be missing. A watch returns only when something changes.
+    pub const fn restart(&mut self) {
         self.position = None;
     }
 
-    /// Records the outcome of a call.
+    /// Records the outcome of a call and returns what to do with its updates.
     ///
     /// An empty watch reply does not advance the position: a source that withholds updates for a
     /// moment may already report a later position. After a failure the list is read again, because
     /// a watch that was cut off may have missed updates that are about to leave the history.
-    pub const fn record(&mut self, call: SourceCall, outcome: CallOutcome) {
-        match (call, outcome) {
-            (_, CallOutcome::HistoryGone | CallOutcome::Failed) => self.position = None,
-            (SourceCall::Watch { .. }, CallOutcome::Answered { is_empty: true, .. }) => {}
-            (_, CallOutcome::Answered { position, .. }) => self.position = Some(position),
+    pub const fn record(&mut self, call: SourceCall, outcome: CallOutcome) -> ReplyUse {
+        match outcome {
+            CallOutcome::HistoryGone | CallOutcome::Failed => {
+                self.position = None;
+                ReplyUse::Discard
+            }
+            CallOutcome::Answered { position, is_empty } => {
+                self.record_answer(call, position, is_empty)
+            }
+        }
+    }
+
+    const fn record_answer(
+        &mut self,
+        call: SourceCall,
+        position: SourcePosition,
+        is_empty: bool,
+    ) -> ReplyUse {
+        if position.era < self.era {
+            // A late reply from before the restore.
+            self.position = None;
+            return ReplyUse::Discard;
+        }
+        self.era = position.era;
+        match call {
+            SourceCall::Watch { position: from } if from.era != position.era => {
+                self.position = None;
+                ReplyUse::Discard
+            }
+            SourceCall::Watch { .. } if is_empty => ReplyUse::Apply,
+            SourceCall::Watch { .. } | SourceCall::List => {
+                self.position = Some(position);
+                ReplyUse::Apply
+            }
         }
     }
 }
--- a/crates/jackdawmux_policy/tests/update_model.rs
+++ b/crates/jackdawmux_policy/tests/update_model.rs
@@ -14,9 +14,10 @@
 use fleet_fixtures::{SERVICE, config, endpoint, route, steering};
 use jackdawmux_policy::clock::PolicyTime;
 use jackdawmux_policy::fleet::choice::EndpointQuery;
+use jackdawmux_policy::fleet::position::SourcePosition;
 use jackdawmux_policy::fleet::record::EndpointPhase;
 use jackdawmux_policy::fleet::steering::FleetSteering;
-use jackdawmux_policy::fleet::watch_cursor::{CallOutcome, SourceCall, WatchCursor};
+use jackdawmux_policy::fleet::watch_cursor::{CallOutcome, ReplyUse, SourceCall, WatchCursor};
 
 /// Number of changes made by the operator and the endpoint.
 const WRITES: u8 = 3;
@@ -153,14 +154,14 @@
                     self.latest(topic, position).filter(|update| *update != Update::Removed);
                 Reply::Updates { position, updates: listed.into_iter().collect() }
             }
-            SourceCall::Watch { position: after } if after < self.history_start => {
+            SourceCall::Watch { position } if position.revision < self.history_start => {
                 Reply::HistoryGone
             }
             SourceCall::Watch { .. } if self.is_withholding => {
                 Reply::Updates { position, updates: Vec::new() }
             }
             SourceCall::Watch { position: after } => {
-                let newer = self.changes.iter().filter(|(at, _)| *at > after);
+                let newer = self.changes.iter().filter(|(at, _)| *at > after.revision);
                 let updates =
                     newer.map(|(_, update)| *update).filter(|update| update.topic() == topic);
                 Reply::Updates { position, updates: updates.collect() }
@@ -179,7 +180,8 @@
     fn lose(&self, topic: Topic) -> Self {
         let mut world = self.clone();
         if let Some(pending) = world.front.pending[topic as usize].take() {
-            world.front.cursors[topic as usize].record(pending.call, CallOutcome::Failed);
+            let cursor = &mut world.front.cursors[topic as usize];
+            assert_eq!(cursor.record(pending.call, CallOutcome::Failed), ReplyUse::Discard);
         }
         world
     }
@@ -192,10 +194,16 @@
         };
         let cursor = &mut front.cursors[topic as usize];
         match reply {
-            Reply::HistoryGone => cursor.record(call, CallOutcome::HistoryGone),
+            Reply::HistoryGone => {
+                assert_eq!(cursor.record(call, CallOutcome::HistoryGone), ReplyUse::Discard);
+            }
             Reply::Updates { position, updates } => {
                 let is_empty = updates.is_empty();
-                cursor.record(call, CallOutcome::Answered { position, is_empty });
+                let outcome = CallOutcome::Answered {
+                    position: SourcePosition::first_era(position),
+                    is_empty,
+                };
+                assert_eq!(cursor.record(call, outcome), ReplyUse::Apply);
                 apply_reply(front, topic, call, &updates);
                 if topic == Topic::Endpoints && (call == SourceCall::List || !is_empty) {
                     front.applied_position = position;
