--- a/crates/jackdawmux_front/src/process/connectivity.rs
+++ b/crates/jackdawmux_front/src/process/connectivity.rs
@@ -11,7 +11,8 @@
 /// Maximum time without a reply of the source after which it is checked. A watch that waits does
 /// not show whether the source still answers.
 const CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
-/// Time limit of a check.
+/// Time limit of a check. A check that began during an outage may never be answered, so the limit
+/// also bounds how long the recovery of the source goes unnoticed.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -118,16 +119,14 @@
                 sleep(CHECK_INTERVAL.saturating_sub(idle).max(CHECK_INTERVAL / 10)).await;
                 continue;
             }
-            let reason = match tokio::time::timeout(CHECK_TIMEOUT, source.check()).await {
-                Ok(Ok(())) => {
+            match check(source).await {
+                Ok(()) => {
                     self.record_success();
-                    continue;
                 }
-                Ok(Err(error)) => error.to_string(),
-                Err(_elapsed) => "step=check fault=no-answer".to_owned(),
-            };
-            if self.record_failure() {
-                log::warn!("event=dependency-lost dependency=store {reason}");
+                Err(reason) if self.record_failure() => {
+                    log::warn!("event=dependency-lost dependency=store {reason}");
+                }
+                Err(_reason) => {}
             }
         }
     }
@@ -140,3 +139,14 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Checks whether the source answers calls.
+///
+/// # Errors
+/// Describes the failed call.
+pub(crate) async fn check(source: &dyn FleetSource) -> Result<(), String> {
+    match tokio::time::timeout(CHECK_TIMEOUT, source.check()).await {
+        Ok(result) => result.map_err(|error| error.to_string()),
+        Err(_elapsed) => Err("step=check fault=no-answer".to_owned()),
+    }
+}
--- a/crates/jackdawmux_front/src/process/watcher.rs
+++ b/crates/jackdawmux_front/src/process/watcher.rs
@@ -7,6 +7,7 @@
 use kameo::actor::ActorRef;
 use tokio::time::sleep;
 
+use super::connectivity::check;
 use super::state::FrontState;
 use super::state_actor::{ApplyUpdates, SourceRecovered, StateActor};
 use crate::source::{FleetSource, SourceError, SourceErrorKind, UpdateBatch, WatchTopic};
@@ -57,6 +58,13 @@
         loop {
             let probe = self.state.connectivity.acquire_probe().await;
             if probe.is_some() {
+                if let Err(reason) = check(self.source.as_ref()).await {
+                    log::debug!("event=dependency-still-lost dependency=store {reason}");
+                    sleep(backoff.mul_f64(rand::random_range(0.5..1.0))).await;
+                    backoff = (backoff * 2).min(MAX_BACKOFF);
+                    continue;
+                }
+                self.record_success().await;
                 cursor.restart();
             }
             let call = cursor.next();
