front, policy, platform: a store that comes back from an older copy

Cause: positions were bare revisions. After a restore the same revision is given out again, so a watch would continue in another history (ABA); a list of the copy would name endpoints that had left, undo draining and evacuations, and drop what had joined. A reply of another era than the position it was read from is discarded and the topic is listed, spread over 300 ms. For 10 s (policy::fleet::restore) objects that may come from the copy undo nothing: removed incarnations stay removed, draining stays, an older incarnation is not taken, evacuations stay, missing endpoints are kept as after an outage and missing instances keep their place; then the lists are read once more and hold. The own registration is written again when a list that is new enough lacks it. Ruled out: the sequence of a registration as evidence (the known one may be older than the copy's).

--- a/crates/jackdawmux_front/src/process/connectivity.rs
+++ b/crates/jackdawmux_front/src/process/connectivity.rs
@@ -34,6 +34,8 @@
     state: Mutex<ConnectivityState>,
     probe: Semaphore,
     replied_at: Mutex<Option<Instant>>,
+    /// Highest era that the source has named; none before its first reply.
+    era: Mutex<Option<u64>>,
     /// Number of outages and eras so far. A call that was waiting when one began may never be
     /// answered, or from another history.
     interruptions: watch::Sender<u64>,
@@ -45,6 +47,7 @@
             state: Mutex::new(ConnectivityState::Unknown),
             probe: Semaphore::new(1),
             replied_at: Mutex::default(),
+            era: Mutex::default(),
             interruptions: watch::Sender::new(0),
         }
     }
@@ -92,8 +95,28 @@
         true
     }
 
+    /// Records the era that the source names. A new one interrupts the calls that wait, because the
+    /// history continues from an older copy.
+    pub(crate) fn observe_era(&self, era: u64) {
+        let before = {
+            let mut known = self.era.lock().unwrap_or_else(PoisonError::into_inner);
+            let before = known.unwrap_or(era);
+            *known = Some(before.max(era));
+            before
+        };
+        if era > before {
+            log::warn!("event=source-restored era={era} previous={before}");
+            self.interrupt();
+        }
+    }
+
+    /// Highest era that the source has named; zero before its first reply.
+    pub(crate) fn era(&self) -> u64 {
+        self.era.lock().unwrap_or_else(PoisonError::into_inner).unwrap_or_default()
+    }
+
     /// Interrupts the calls that wait.
-    pub(crate) fn interrupt(&self) {
+    fn interrupt(&self) {
         self.interruptions.send_modify(|count| *count += 1);
     }
 
@@ -122,6 +145,7 @@
             match check(source).await {
                 Ok(()) => {
                     self.record_success();
+                    self.observe_era(source.era());
                 }
                 Err(reason) if self.record_failure() => {
                     log::warn!("event=dependency-lost dependency=store {reason}");
--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -237,12 +237,17 @@
 async fn register(record: InstanceRecord, source: Arc<dyn FleetSource>, state: Arc<FrontState>) {
     loop {
         let mut backoff = INITIAL_REGISTER_BACKOFF;
-        while let Err(error) = source.register(&record).await {
-            log::warn!("event=registration-failed {error}");
+        let position = loop {
+            match source.register(&record).await {
+                Ok(position) => break position,
+                Err(error) => log::warn!("event=registration-failed {error}"),
+            }
             sleep(backoff.mul_f64(rand::random_range(0.5..1.0))).await;
             backoff = (backoff * 2).min(MAX_REGISTER_BACKOFF);
-        }
-        log::info!("event=registered instance={}", record.name);
+        };
+        log::info!("event=registered instance={} at={position}", record.name);
+        *state.registered_at() = Some(position);
+        state.connectivity.observe_era(source.era());
         state.registration_lost.notified().await;
     }
 }
--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -13,7 +13,7 @@
 use super::connectivity::SourceConnectivity;
 use super::settings::FrontSettings;
 use crate::dialect::WireDialect;
-use crate::source::WatchTopic;
+use crate::source::{SourcePosition, WatchTopic};
 use crate::upstream::UpstreamPool;
 
 /// Phase in the life cycle of the process.
@@ -40,13 +40,14 @@
     pub(crate) limits: watch::Sender<ListenerLimits>,
     pub(crate) incarnation: u64,
     pub(crate) connectivity: Arc<SourceConnectivity>,
-    /// Notified when this instance's registration is removed while it serves.
+    /// Notified when this instance's registration was removed or lost.
     pub(crate) registration_lost: Notify,
     /// Notified when a peer has applied an update of a topic that this instance has not.
     pub(crate) is_behind: [Notify; WatchTopic::COUNT],
     steering: Mutex<FleetSteering>,
     freshness: Mutex<FreshnessTracker>,
     directory: Mutex<InstanceDirectory>,
+    registered_at: Mutex<Option<SourcePosition>>,
     phase: AtomicU8,
 }
 
@@ -76,6 +77,7 @@
             steering: Mutex::new(steering),
             freshness: Mutex::default(),
             directory: Mutex::new(directory),
+            registered_at: Mutex::default(),
             phase: AtomicU8::new(FrontPhase::Starting as u8),
             settings,
         }
@@ -96,6 +98,11 @@
         self.directory.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the position at which this instance was registered; none while it is not.
+    pub(crate) fn registered_at(&self) -> MutexGuard<'_, Option<SourcePosition>> {
+        self.registered_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Current phase of the process.
     pub(crate) fn phase(&self) -> FrontPhase {
         FrontPhase::from_repr(self.phase.load(Ordering::Relaxed)).unwrap_or(FrontPhase::Starting)
--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -8,11 +8,12 @@
 
 use jackdawmux_policy::fleet::choice::EndpointKey;
 use jackdawmux_policy::fleet::endpoint_state::EndpointChange;
-use jackdawmux_policy::fleet::record::{CallerLimits, ConfigRecord, FleetBounds};
+use jackdawmux_policy::fleet::record::{CallerLimits, ConfigRecord, FleetBounds, InstanceRecord};
 use jackdawmux_runtime::ListenerLimits;
 use kameo::Actor;
 use kameo::message::{Context, Message};
 use strum::IntoEnumIterator;
+use tokio::sync::Notify;
 
 use super::heartbeat::Heartbeat;
 use super::state::{FrontPhase, FrontState};
@@ -76,9 +77,13 @@
 
     async fn handle(&mut self, message: ApplyUpdates, _context: &mut Context<Self, ()>) {
         let ApplyUpdates { topic, batch, is_full_list } = message;
-        let was_registered = self.state.directory().is_registered();
+        let now = self.state.clock.now();
         let position = batch.position;
         let newest = SourcePosition { era: position.era, revision: batch.newest_revision };
+        if !self.state.steering().record_position(now, topic, position) {
+            log::info!("event=reply-discarded topic={topic} at={position} reason=past-era");
+            return;
+        }
         if is_full_list {
             log::info!("event=list-read topic={topic} at={position} count={}", batch.updates.len());
             self.apply_list(topic, batch);
@@ -89,11 +94,6 @@
         }
         self.state.freshness().record_applied(topic, newest);
         self.refresh_phase();
-        let is_lost = was_registered && !self.state.directory().is_registered();
-        if is_lost && self.state.phase() == FrontPhase::Serving {
-            log::warn!("event=registration-lost instance={}", self.state.settings.instance);
-            self.state.registration_lost.notify_one();
-        }
     }
 }
 
@@ -136,6 +136,10 @@
             self.state.pool.close_idle(EndpointKey::of(&id));
         }
         self.state.pool.close_expired();
+        if self.state.steering().take_settled(now) {
+            log::info!("event=restore-settled");
+            self.state.is_behind.iter().for_each(Notify::notify_one);
+        }
         let mut freshness = self.state.freshness();
         for topic in WatchTopic::iter() {
             if freshness.take_behind(now, topic, BEHIND_GRACE) {
@@ -165,7 +169,9 @@
             }
             WatchTopic::Endpoints => {
                 let records = batch.updates.into_iter().filter_map(|update| match update {
-                    FleetUpdate::Endpoint(record) => Some(record),
+                    FleetUpdate::Endpoint(record, revision) => {
+                        Some((record, SourcePosition { era: position.era, revision }))
+                    }
                     _ => None,
                 });
                 let changes = self.state.steering().replace_endpoints(now, records.collect());
@@ -189,7 +195,10 @@
                     FleetUpdate::Instance(record) => Some(record),
                     _ => None,
                 });
-                self.state.directory().replace(records.collect());
+                let records: Vec<InstanceRecord> = records.collect();
+                self.check_registration(&records, position);
+                let is_settling = self.state.steering().is_settling(now);
+                self.state.directory().replace(records, is_settling);
             }
         }
     }
@@ -198,9 +207,10 @@
         let now = self.state.clock.now();
         match update {
             FleetUpdate::Config(config) => self.apply_config(*config, position),
-            FleetUpdate::Endpoint(record) => {
+            FleetUpdate::Endpoint(record, revision) => {
                 let id = record.id.clone();
-                let change = self.state.steering().apply_endpoint(now, record);
+                let written_at = SourcePosition { era: position.era, revision };
+                let change = self.state.steering().apply_written_endpoint(now, record, written_at);
                 self.handle_endpoint_change(&id, change, position);
             }
             FleetUpdate::EndpointRemoved(id) => {
@@ -220,10 +230,34 @@
             FleetUpdate::InstanceRemoved(name) => {
                 log::info!("event=instance-withdrawn instance={name} at={position}");
                 self.state.directory().withdraw(&name);
+                if name == self.state.settings.instance {
+                    self.request_registration();
+                }
             }
         }
     }
 
+    /// Requests another registration if a list that is new enough to contain the own one does not.
+    fn check_registration(&self, records: &[InstanceRecord], position: SourcePosition) {
+        let registered_at = *self.state.registered_at();
+        let is_own = |record: &InstanceRecord| {
+            record.name == self.state.settings.instance
+                && record.incarnation == self.state.incarnation
+        };
+        let is_due = registered_at.is_some_and(|registered_at| position >= registered_at);
+        if is_due && !records.iter().any(is_own) {
+            self.request_registration();
+        }
+    }
+
+    fn request_registration(&self) {
+        let is_registered = self.state.registered_at().take().is_some();
+        if is_registered && self.state.phase() != FrontPhase::Leaving {
+            log::warn!("event=registration-lost instance={}", self.state.settings.instance);
+            self.state.registration_lost.notify_one();
+        }
+    }
+
     fn apply_config(&self, config: ConfigRecord, position: SourcePosition) {
         let (version, limits) = (config.version, config.limits);
         let (routes, services) = (config.routes.len(), config.services.len());
--- a/crates/jackdawmux_front/src/process/watcher.rs
+++ b/crates/jackdawmux_front/src/process/watcher.rs
@@ -26,6 +26,8 @@
 /// Maximum backoff after failed calls; updates must be applied within two seconds of the source's
 /// recovery.
 const MAX_BACKOFF: Duration = Duration::from_millis(400);
+/// Time over which the instances spread their lists after a restore of the source.
+const RESTORE_LIST_SPREAD: Duration = Duration::from_millis(300);
 /// Minimum outage of the source that lets the registrations of running endpoints lapse.
 const MIN_OUTAGE: Duration = Duration::from_secs(1);
 
@@ -67,12 +69,16 @@
                 self.record_success().await;
                 cursor.restart();
             }
+            if cursor.enter_era(self.state.connectivity.era()) {
+                sleep(RESTORE_LIST_SPREAD.mul_f64(rand::random())).await;
+            }
             let call = cursor.next();
             match self.execute(call).await {
                 CallEnd::Returned(Ok(batch)) => {
                     backoff = INITIAL_BACKOFF;
                     self.record_success().await;
                     drop(probe);
+                    self.state.connectivity.observe_era(batch.position.era);
                     let (position, is_empty) = (batch.position, batch.updates.is_empty());
                     let outcome = CallOutcome::Answered { position, is_empty };
                     match cursor.record(call, outcome) {
--- a/crates/jackdawmux_front/src/source.rs
+++ b/crates/jackdawmux_front/src/source.rs
@@ -13,8 +13,8 @@
 pub enum FleetUpdate {
     /// A complete version of the configuration.
     Config(Box<ConfigRecord>),
-    /// An endpoint was registered or its registration changed.
-    Endpoint(EndpointRecord),
+    /// An endpoint was registered or its registration changed, at this revision.
+    Endpoint(EndpointRecord, u64),
     /// An endpoint's registration was removed or cannot be decoded.
     EndpointRemoved(String),
     /// A failure domain is being evacuated.
@@ -84,11 +84,20 @@
         wait: Duration,
     ) -> SourceFuture<'_, UpdateBatch>;
 
+    /// Highest era that any reply has named; zero if the source names none.
+    fn era(&self) -> u64 {
+        0
+    }
+
     /// Checks cheaply whether the source answers calls; the data that it replies with may be old.
     fn check(&self) -> SourceFuture<'_, ()>;
 
-    /// Registers an instance, or replaces its registration.
-    fn register<'call>(&'call self, record: &'call InstanceRecord) -> SourceFuture<'call, ()>;
+    /// Registers an instance, or replaces its registration. Returns the position at which it was
+    /// written; lists from that position on contain it.
+    fn register<'call>(
+        &'call self,
+        record: &'call InstanceRecord,
+    ) -> SourceFuture<'call, SourcePosition>;
 
     /// Removes an instance's registration.
     fn withdraw<'call>(&'call self, instance: &'call str) -> SourceFuture<'call, ()>;
--- a/crates/jackdawmux_native/src/instances.rs
+++ b/crates/jackdawmux_native/src/instances.rs
@@ -83,11 +83,12 @@
 }
 
 /// Applies `change` to the table and writes it back. Reads the table again and retries when another
-/// writer replaced it in between.
+/// writer replaced it in between. Returns the version of
+/// the object that contains the change.
 pub(crate) async fn update_table(
     store: &dyn ObjectStore,
     change: impl Fn(&mut InstanceTable),
-) -> Result<(), UpdateError> {
+) -> Result<u64, UpdateError> {
     for _ in 0..MAX_UPDATE_ATTEMPTS {
         let (before, version) = InstanceTable::read(store)
             .await
@@ -95,12 +96,12 @@
         let mut after = before.clone();
         change(&mut after);
         if after == before {
-            return Ok(());
+            return Ok(version);
         }
         let content =
             serde_json::to_vec(&after).map_err(|error| UpdateError::NotDone(error.to_string()))?;
         match store.update(INSTANCES_KEY, version, Bytes::from(content)).await {
-            UpdateOutcome::Done(_version) => return Ok(()),
+            UpdateOutcome::Done(version) => return Ok(version),
             UpdateOutcome::Conflict => {}
             UpdateOutcome::NotDone(error) => return Err(UpdateError::NotDone(error.to_string())),
             UpdateOutcome::Unknown(error) => return Err(UpdateError::Unknown(error)),
--- a/crates/jackdawmux_native/src/source.rs
+++ b/crates/jackdawmux_native/src/source.rs
@@ -74,7 +74,8 @@
         let updates = match topic {
             WatchTopic::Config => vec![FleetUpdate::Config(Box::new(rules.config))],
             WatchTopic::Endpoints => {
-                rules.endpoints.into_iter().map(FleetUpdate::Endpoint).collect()
+                let endpoints = rules.endpoints.into_iter();
+                endpoints.map(|record| FleetUpdate::Endpoint(record, position)).collect()
             }
             WatchTopic::Evacuations => {
                 rules.drained_domains.into_iter().map(FleetUpdate::EvacuationStarted).collect()
@@ -142,17 +143,20 @@
         })
     }
 
-    fn register<'call>(&'call self, record: &'call InstanceRecord) -> SourceFuture<'call, ()> {
+    fn register<'call>(
+        &'call self,
+        record: &'call InstanceRecord,
+    ) -> SourceFuture<'call, SourcePosition> {
         Box::pin(async move {
             let updated = update_table(self.store.as_ref(), |table| table.insert(record)).await;
-            updated.map_err(|error| self.update_error(error))
+            updated.map(SourcePosition::first_era).map_err(|error| self.update_error(error))
         })
     }
 
     fn withdraw<'call>(&'call self, instance: &'call str) -> SourceFuture<'call, ()> {
         Box::pin(async move {
             let updated = update_table(self.store.as_ref(), |table| table.remove(instance)).await;
-            updated.map_err(|error| self.update_error(error))
+            updated.map(|_version| ()).map_err(|error| self.update_error(error))
         })
     }
 }
--- a/crates/jackdawmux_policy/src/fleet/directory.rs
+++ b/crates/jackdawmux_policy/src/fleet/directory.rs
@@ -88,9 +88,14 @@
         self.heartbeats.remove(name);
     }
 
-    /// Replaces all registrations by a complete list.
-    pub fn replace(&mut self, records: Vec<InstanceRecord>) {
-        self.registered = records.into_iter().map(|record| (record.name.clone(), record)).collect();
+    /// Replaces all registrations by a complete list. `keeps_missing` is set after a restore of the
+    /// source, while instances that the list lacks may not have registered again yet.
+    pub fn replace(&mut self, records: Vec<InstanceRecord>, keeps_missing: bool) {
+        if !keeps_missing {
+            self.registered.clear();
+        }
+        let named = records.into_iter().map(|record| (record.name.clone(), record));
+        self.registered.extend(named);
         self.heartbeats.retain(|name, _| self.registered.contains_key(name));
     }
 
--- /dev/null
+++ b/crates/jackdawmux_policy/src/fleet/restore.rs
@@ -0,0 +1,123 @@
+//! Keeps known facts in force while the update source replays its history after a restore.
+//!
+//! A source that comes back from an older copy has lost its latest changes and names a new era.
+//! The operator and the endpoints write their objects again, in any order. Until they have had time
+//! to, what the copy lacks is not evidence that something ended, and what only the copy names is
+//! not evidence that something returned.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use strum::EnumCount;
+
+use super::choice::EndpointKey;
+use super::position::{SourcePosition, WatchTopic};
+use super::record::EndpointRecord;
+use crate::clock::PolicyTime;
+
+/// Time after a restore in which objects are written again. It covers several heartbeats of an
+/// endpoint and the expiry of registrations that nobody renews.
+const SETTLE_TIME: Duration = Duration::from_secs(10);
+/// How long the removal of an endpoint is remembered. A copy is some seconds old.
+const TOMBSTONE_RETENTION: Duration = Duration::from_secs(120);
+/// Maximum number of removed endpoints that are remembered.
+const MAX_TOMBSTONES: usize = 8_192;
+
+/// A removed endpoint.
+#[derive(Clone, Copy, Debug)]
+struct Tombstone {
+    /// Start of the latest incarnation that was removed.
+    started_ms: u64,
+    removed_at: PolicyTime,
+}
+
+/// Era of the update source, and the endpoints that were removed recently.
+#[derive(Clone, Debug, Default)]
+pub struct RestoreTracker {
+    /// None before the first batch: a process that starts has no facts to keep.
+    era: Option<u64>,
+    restored_at: Option<PolicyTime>,
+    /// Revision of the first full list of each topic in the current era. Objects up to it may come
+    /// from the copy.
+    floors: [Option<u64>; WatchTopic::COUNT],
+    tombstones: HashMap<EndpointKey, Tombstone>,
+}
+
+impl RestoreTracker {
+    /// Records the position of a batch of updates. Returns `true` if it starts a new era.
+    pub fn record_position(
+        &mut self,
+        now: PolicyTime,
+        topic: WatchTopic,
+        position: SourcePosition,
+    ) -> bool {
+        let known = *self.era.get_or_insert(position.era);
+        let is_new_era = position.era > known;
+        if is_new_era {
+            self.era = Some(position.era);
+            self.restored_at = Some(now);
+            self.floors = [None; WatchTopic::COUNT];
+        }
+        self.floors[topic as usize].get_or_insert(position.revision);
+        is_new_era
+    }
+
+    /// Returns whether a position belongs to an era that has ended.
+    #[must_use]
+    pub fn is_past_era(&self, position: SourcePosition) -> bool {
+        self.era.is_some_and(|era| position.era < era)
+    }
+
+    /// Returns whether objects may still be written again after a restore.
+    #[must_use]
+    pub fn is_settling(&self, now: PolicyTime) -> bool {
+        self.restored_at.is_some_and(|at| now.since(at) < SETTLE_TIME)
+    }
+
+    /// Returns `true` once after each restore, when the time to write objects again has passed. The
+    /// full lists then hold.
+    pub fn take_settled(&mut self, now: PolicyTime) -> bool {
+        let is_settled = self.restored_at.is_some() && !self.is_settling(now);
+        if is_settled {
+            self.restored_at = None;
+        }
+        is_settled
+    }
+
+    /// Returns whether an object may come from the copy rather than from a write after the restore.
+    #[must_use]
+    pub fn is_copied(
+        &self,
+        now: PolicyTime,
+        topic: WatchTopic,
+        written_at: SourcePosition,
+    ) -> bool {
+        let floor = self.floors[topic as usize];
+        self.is_settling(now) && floor.is_none_or(|floor| written_at.revision <= floor)
+    }
+
+    /// Remembers that an endpoint was removed.
+    pub fn record_removed(&mut self, now: PolicyTime, record: &EndpointRecord) {
+        self.prune(now);
+        if self.tombstones.len() < MAX_TOMBSTONES {
+            let tombstone = Tombstone { started_ms: record.started_ms, removed_at: now };
+            self.tombstones.insert(EndpointKey::of(&record.id), tombstone);
+        }
+    }
+
+    /// Returns whether an incarnation of an endpoint was removed, or an incarnation after it.
+    #[must_use]
+    pub fn is_removed(&self, now: PolicyTime, record: &EndpointRecord) -> bool {
+        self.tombstones.get(&EndpointKey::of(&record.id)).is_some_and(|tombstone| {
+            record.started_ms <= tombstone.started_ms
+                && now.since(tombstone.removed_at) < TOMBSTONE_RETENTION
+        })
+    }
+
+    fn prune(&mut self, now: PolicyTime) {
+        if self.tombstones.len() >= MAX_TOMBSTONES {
+            self.tombstones
+                .retain(|_, tombstone| now.since(tombstone.removed_at) < TOMBSTONE_RETENTION);
+        }
+    }
+}
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -21,10 +21,12 @@
     EjectionCounts, EndpointChange, EndpointState, RecentObjects, describe_change, typical_latency,
 };
 use super::outlier::AttemptOutcome;
+use super::position::{SourcePosition, WatchTopic};
 use super::record::{
     ConfigRecord, EndpointPhase, EndpointRecord, FleetBounds, RouteRecord, ServiceRecord,
 };
 use super::region_share::{RegionShares, region_shares};
+use super::restore::RestoreTracker;
 use super::retry_share::RetryShare;
 use super::routing::RouteTable;
 use super::split::SplitTable;
@@ -69,10 +71,13 @@
 struct SourceOutage {
     started_at: PolicyTime,
     ended_at: PolicyTime,
+    /// Whether the source came back from an older copy, which lacks the latest registrations for
+    /// every instance.
+    is_restore: bool,
 }
 
 /// Endpoints, configuration and budgets of one instance.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct FleetSteering {
     own: String,
     regions: Arc<BTreeMap<String, String>>,
@@ -86,6 +91,7 @@
     instances: Vec<String>,
     splits: SplitTable,
     outage: Option<SourceOutage>,
+    restore: RestoreTracker,
     recent: RecentObjects,
     crashes: CrashRecord,
     /// When the first endpoint was added in this process.
@@ -119,6 +125,7 @@
             instances: vec![own.to_owned()],
             splits: SplitTable::default(),
             outage: None,
+            restore: RestoreTracker::default(),
             recent: RecentObjects::default(),
             crashes: CrashRecord::default(),
             first_endpoint_at: None,
@@ -154,7 +161,11 @@
     /// Records that the update source replies again after an outage. Registrations that are missing
     /// now may have expired during the outage and may be renewed.
     pub fn record_source_recovery(&mut self, now: PolicyTime, outage: Duration) {
-        self.outage = Some(SourceOutage { started_at: now.before(outage), ended_at: now });
+        if self.outage.is_some_and(|known| known.is_restore && now < known.ended_at + LAPSE_GRACE) {
+            return;
+        }
+        let started_at = now.before(outage);
+        self.outage = Some(SourceOutage { started_at, ended_at: now, is_restore: false });
     }
 
     /// Records that a peer has been connected to the update source for the time `held`. If that
@@ -164,7 +175,7 @@
         let Some(outage) = self.outage else {
             return;
         };
-        if now.before(held) > outage.started_at {
+        if outage.is_restore || now.before(held) > outage.started_at {
             return;
         }
         self.outage = None;
@@ -173,6 +184,66 @@
         }
     }
 
+    /// Records the position of a batch of updates before they are applied. Returns `false` if the
+    /// batch belongs to an era that has ended and must be ignored.
+    pub fn record_position(
+        &mut self,
+        now: PolicyTime,
+        topic: WatchTopic,
+        position: SourcePosition,
+    ) -> bool {
+        if self.restore.is_past_era(position) {
+            return false;
+        }
+        if self.restore.record_position(now, topic, position) {
+            self.outage = Some(SourceOutage { started_at: now, ended_at: now, is_restore: true });
+        }
+        true
+    }
+
+    /// Returns whether the update source has come back from an older copy and objects may still be
+    /// written again.
+    #[must_use]
+    pub fn is_settling(&self, now: PolicyTime) -> bool {
+        self.restore.is_settling(now)
+    }
+
+    /// Returns `true` once after each restore, when the full lists hold again and must be read.
+    pub fn take_settled(&mut self, now: PolicyTime) -> bool {
+        self.restore.take_settled(now)
+    }
+
+    /// Applies the registration of an endpoint that was written at a position. A registration that
+    /// may come from an older copy does not undo what is known of the endpoint.
+    pub fn apply_written_endpoint(
+        &mut self,
+        now: PolicyTime,
+        record: EndpointRecord,
+        written_at: SourcePosition,
+    ) -> EndpointChange {
+        let is_copied = self.restore.is_copied(now, WatchTopic::Endpoints, written_at);
+        if is_copied && self.is_outdated(now, &record) {
+            return EndpointChange::Same;
+        }
+        self.apply_endpoint(now, record)
+    }
+
+    /// Returns whether a copied registration is older than what is known of its endpoint.
+    fn is_outdated(&self, now: PolicyTime, record: &EndpointRecord) -> bool {
+        let key = EndpointKey::of(&record.id);
+        let mut endpoints = self.services.values().flat_map(|service| &service.endpoints);
+        match endpoints.find(|state| state.key == key) {
+            None => self.restore.is_removed(now, record),
+            Some(state) if record.started_ms != state.record.started_ms => {
+                record.started_ms < state.record.started_ms
+            }
+            Some(state) => {
+                state.record.phase == EndpointPhase::Draining
+                    && record.phase == EndpointPhase::Ready
+            }
+        }
+    }
+
     /// Applies the registration of an endpoint.
     pub fn apply_endpoint(&mut self, now: PolicyTime, record: EndpointRecord) -> EndpointChange {
         let key = EndpointKey::of(&record.id);
@@ -215,19 +286,22 @@
                 state.lapses_at = Some(end);
                 return EndpointChange::Lapsed;
             }
-            service.endpoints.swap_remove(index);
+            let removed = service.endpoints.swap_remove(index);
+            self.restore.record_removed(now, &removed.record);
             return EndpointChange::Left;
         }
         EndpointChange::Same
     }
 
-    /// Replaces the endpoints by a complete list. Returns the endpoints that changed.
+    /// Replaces the endpoints by a complete list of registrations, each with the position at which
+    /// it was written. Returns the endpoints that changed.
     pub fn replace_endpoints(
         &mut self,
         now: PolicyTime,
-        records: Vec<EndpointRecord>,
+        records: Vec<(EndpointRecord, SourcePosition)>,
     ) -> Vec<(String, EndpointChange)> {
-        let listed: HashSet<String> = records.iter().map(|record| record.id.clone()).collect();
+        let listed: HashSet<String> =
+            records.iter().map(|(record, _written_at)| record.id.clone()).collect();
         let missing: Vec<String> = self
             .services
             .values()
@@ -240,9 +314,9 @@
             let change = self.remove_endpoint(now, &id);
             changes.push((id, change));
         }
-        for record in records {
+        for (record, written_at) in records {
             let id = record.id.clone();
-            let change = self.apply_endpoint(now, record);
+            let change = self.apply_written_endpoint(now, record, written_at);
             if change != EndpointChange::Same {
                 changes.push((id, change));
             }
@@ -259,8 +333,13 @@
         }
     }
 
-    /// Replaces the evacuated failure domains by a complete list.
+    /// Replaces the evacuated failure domains by a complete list. While objects are written again
+    /// after a restore, evacuations that are missing from the list stay in force.
     pub fn replace_evacuated(&mut self, now: PolicyTime, domains: &[String]) {
+        if self.is_settling(now) {
+            self.evacuated.extend(domains.iter().cloned());
+            return;
+        }
         let returned: Vec<String> =
             self.evacuated.iter().filter(|domain| !domains.contains(domain)).cloned().collect();
         for domain in returned {
@@ -292,6 +371,14 @@
         self.services.values().map(|service| service.endpoints.len()).sum()
     }
 
+    /// Returns the start of the known incarnation of an endpoint, in Unix milliseconds.
+    #[must_use]
+    pub fn endpoint_started_ms(&self, id: &str) -> Option<u64> {
+        let key = EndpointKey::of(id);
+        let mut endpoints = self.services.values().flat_map(|service| &service.endpoints);
+        endpoints.find(|state| state.key == key).map(|state| state.record.started_ms)
+    }
+
     /// Returns the index of the target service for the next request of a route.
     pub fn split(&mut self, version: u64, route: &RouteRecord) -> usize {
         self.splits.next(version, route)
--- a/crates/jackdawmux_policy/src/fleet/watch_cursor.rs
+++ b/crates/jackdawmux_policy/src/fleet/watch_cursor.rs
@@ -64,6 +64,17 @@
         self.position = None;
     }
 
+    /// Makes the next call a list if the source names a later era than the replies so far. Returns
+    /// whether it does.
+    pub const fn enter_era(&mut self, era: u64) -> bool {
+        let is_later = era > self.era && self.position.is_some();
+        if era > self.era {
+            self.era = era;
+            self.position = None;
+        }
+        is_later
+    }
+
     /// Records the outcome of a call and returns what to do with its updates.
     ///
     /// An empty watch reply does not advance the position: a source that withholds updates for a
--- a/crates/jackdawmux_policy/tests/fleet_rules.rs
+++ b/crates/jackdawmux_policy/tests/fleet_rules.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fleet_fixtures::{SERVICE, bounds, config, endpoint, regions, route, steering};
+use fleet_fixtures::{SERVICE, bounds, config, endpoint, listed, regions, route, steering};
 use jackdawmux_policy::clock::PolicyTime;
 use jackdawmux_policy::fleet::choice::{
     ChoiceRefusalReason, EndpointChoice, EndpointKey, EndpointQuery,
@@ -110,7 +110,7 @@
     steering.set_evacuated(at(50), "a", true);
 });
 unusable_case!(an_endpoint_missing_from_a_list_gets_no_requests, |steering| {
-    steering.replace_endpoints(at(50), (1..6).map(endpoint).collect());
+    steering.replace_endpoints(at(50), listed((1..6).map(endpoint)));
 });
 unusable_case!(an_unreachable_endpoint_gets_no_requests, |steering| {
     let key = EndpointKey::of(&endpoint(0).id);
@@ -154,7 +154,7 @@
     let mut cut = steering("front-0", "a", &names(2), 6);
     cut.record_source_recovery(at(10_000), Duration::from_secs(5));
     let others: Vec<_> = (1..6).map(endpoint).collect();
-    cut.replace_endpoints(at(10_010), others.clone());
+    cut.replace_endpoints(at(10_010), listed(others.clone()));
     assert!(own(&mut cut, at(10_020)), "kept for the grace period");
     // A peer was connected to the source for longer than this instance's outage, so the source was
     // available.
@@ -166,7 +166,7 @@
 
     let mut outage = steering("front-0", "a", &names(2), 6);
     outage.record_source_recovery(at(10_000), Duration::from_secs(5));
-    outage.replace_endpoints(at(10_010), others);
+    outage.replace_endpoints(at(10_010), listed(others));
     outage.record_peer_source_connection(at(10_200), Duration::from_secs(1));
     assert!(own(&mut outage, at(11_900)), "the registration has two seconds to be renewed");
     assert!(!own(&mut outage, at(12_200)), "then the endpoint is removed");
--- a/crates/jackdawmux_policy/tests/heartbeat_fan_out.rs
+++ b/crates/jackdawmux_policy/tests/heartbeat_fan_out.rs
@@ -32,7 +32,7 @@
 
 fn directory(own: u16, count: u16) -> InstanceDirectory {
     let mut directory = InstanceDirectory::new(&record(own).name, regions());
-    directory.replace((0..count).map(record).collect());
+    directory.replace((0..count).map(record).collect(), false);
     directory.set_serving(true);
     directory
 }
--- a/crates/jackdawmux_policy/tests/support/fleet_fixtures.rs
+++ b/crates/jackdawmux_policy/tests/support/fleet_fixtures.rs
@@ -1,11 +1,14 @@
 //! Fixtures of a small deployment for tests of the fleet's decisions.
 
+#![allow(dead_code, reason = "each test file uses only some of these items")]
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use jackdawmux_policy::clock::PolicyTime;
+use jackdawmux_policy::fleet::position::SourcePosition;
 use jackdawmux_policy::fleet::record::{
     CallerLimits, ConfigRecord, EndpointPhase, EndpointRecord, FleetBounds, RepeatRule,
     RouteRecord, RouteTarget, ServiceRecord,
@@ -79,6 +82,13 @@
     }
 }
 
+/// Registrations as a list returns them, all written at the first revision.
+pub fn listed(
+    records: impl IntoIterator<Item = EndpointRecord>,
+) -> Vec<(EndpointRecord, SourcePosition)> {
+    records.into_iter().map(|record| (record, SourcePosition::first_era(1))).collect()
+}
+
 /// Failure domains with their regions.
 pub fn regions() -> Arc<BTreeMap<String, String>> {
     let pairs = [("a", "north"), ("b", "south")];
--- a/crates/jackdawmux_policy/tests/update_model.rs
+++ b/crates/jackdawmux_policy/tests/update_model.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use explore::explore;
-use fleet_fixtures::{SERVICE, config, endpoint, route, steering};
+use fleet_fixtures::{SERVICE, config, endpoint, listed, route, steering};
 use jackdawmux_policy::clock::PolicyTime;
 use jackdawmux_policy::fleet::choice::EndpointQuery;
 use jackdawmux_policy::fleet::position::SourcePosition;
@@ -289,7 +289,7 @@
             let mut steering = steering_with_version(Some(1));
             apply_update(&mut steering, now, front.endpoint);
             if call == SourceCall::List {
-                let records = updates.iter().filter_map(|update| record(*update)).collect();
+                let records = listed(updates.iter().filter_map(|update| record(*update)));
                 steering.replace_endpoints(now, records);
             } else {
                 for update in updates {
--- a/crates/jackdawmux_soak/src/fleet.rs
+++ b/crates/jackdawmux_soak/src/fleet.rs
@@ -98,6 +98,7 @@
             domain: self.domain,
             is_draining,
             cold_ms: if self.cold_since.is_some() { COLD_DURATION_MS } else { 0 },
+            started_later_ms: 0,
         };
         self.standin.write_registration(store, &registration);
     }
