front, policy: endpoints that leave by answer, and pauses that endpoints ask for

Cause: Server-Leaving was not read, so an endpoint whose registration still says ready got requests after it had said that it leaves; Retry-After of a 503 was not read, so an endpoint that wants nothing got further requests at once. Change: both are read at the head of every response (not of 421, which another endpoint sends) and kept by incarnation in the pure crate. Leaving ends with a new start and outlives lists that say ready and a removal; a pause (at most 60 s, extended by up to a quarter so that the instances return one after the other) excludes the endpoint for requests and retries alike. Its objects go to the next endpoints by their shares. If all endpoints pause, requests are refused with the end of the first pause. Native dialect: jackdaw-leaving. Log: endpoint-leaving, endpoint-paused. Ruled out: two requests during a pause, which the rule would allow: nothing needs them. Tests: policy endpoint_notices (each mechanism taken out turns at least one red), front retry_after, platform front: an_endpoint_that_says_it_is_leaving..., an_endpoint_that_wants_a_pause....

--- a/crates/jackdawmux_front/src/dialect.rs
+++ b/crates/jackdawmux_front/src/dialect.rs
@@ -1,8 +1,9 @@
 //! Wire format of callers' requests, endpoints' responses and lookups.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
+use axum::http::header::RETRY_AFTER;
 use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use jackdawmux_policy::fleet::choice::LoadReport;
 
@@ -33,6 +34,10 @@
     pub is_encoded: bool,
     /// Load that the endpoint reports.
     pub load: Option<LoadReport>,
+    /// The endpoint is leaving and wants no further requests.
+    pub is_leaving: bool,
+    /// How long the endpoint wants no further requests from this instance.
+    pub retry_after: Option<Duration>,
 }
 
 /// Parameters of a lookup, which returns the addresses that a caller may connect to.
@@ -66,6 +71,29 @@
     }
 }
 
+/// Reads for how long an endpoint that turned a request away with status 503 wants no further ones.
+#[must_use]
+pub fn read_retry_after(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(RETRY_AFTER).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)?;
+    let retry_after = parse_retry_after(value, SystemTime::now());
+    if retry_after.is_none() {
+        log::warn!("event=header-unread header=retry-after value={value:?}");
+    }
+    retry_after
+}
+
+/// Parses the value of a `Retry-After` header of a response received at `now`: a number of seconds,
+/// which may have fractions, or a date.
+#[must_use]
+pub fn parse_retry_after(value: &HeaderValue, now: SystemTime) -> Option<Duration> {
+    let text = value.to_str().ok()?.trim();
+    if let Ok(seconds) = text.parse::<f64>() {
+        return Duration::try_from_secs_f64(seconds).ok();
+    }
+    let date = httpdate::parse_http_date(text).ok()?;
+    Some(date.duration_since(now).unwrap_or_default())
+}
+
 /// Translates between the wire format and the types of this crate.
 pub trait WireDialect: Send + Sync + std::fmt::Debug {
     /// Reads the headers of a caller's request.
--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -8,7 +8,10 @@
 use axum::http::header::CONTENT_LENGTH;
 use axum::http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use jackdawmux_policy::fleet::choice::{EndpointChoice, EndpointKey, EndpointQuery};
+use jackdawmux_policy::fleet::backoff::MAX_PAUSE;
+use jackdawmux_policy::fleet::choice::{
+    EndpointChoice, EndpointKey, EndpointNotice, EndpointQuery, NoticeEffect,
+};
 use jackdawmux_policy::fleet::outlier::AttemptOutcome;
 use jackdawmux_policy::identity::stable_hash;
 use jackdawmux_runtime::strip_hop_by_hop_headers;
@@ -101,7 +104,12 @@
             let choice = match self.choose() {
                 Ok(choice) => choice,
                 Err(chosen) if self.log_entry.attempt_count() == 0 => return Err(chosen),
-                Err(_) => break,
+                Err(chosen) => {
+                    if chosen.is_paused() {
+                        refusal = chosen;
+                    }
+                    break;
+                }
             };
             if self.log_entry.attempt_count() > 0 {
                 self.state.metrics.count_retry(&self.plan.service);
@@ -248,11 +256,36 @@
                 let headers =
                     self.state.dialect.read_response(response.status(), response.headers());
                 guard.record_load(headers.load);
+                self.record_notice(choice, &headers);
                 self.classify(*response, connection, &headers, guard).await
             }
         }
     }
 
+    /// Records what the endpoint states about itself. A response of another endpoint at the address
+    /// says nothing about the chosen one.
+    fn record_notice(&self, choice: &EndpointChoice, headers: &ResponseHeaders) {
+        let notice =
+            EndpointNotice { is_leaving: headers.is_leaving, retry_after: headers.retry_after };
+        if headers.is_misdirected || notice == EndpointNotice::default() {
+            return;
+        }
+        let now = self.state.clock.now();
+        match self.state.steering().record_notice(now, choice, notice) {
+            NoticeEffect::None => {}
+            NoticeEffect::Leaving => {
+                self.state.pool.close_idle(choice.key);
+                log::info!("event=endpoint-leaving endpoint={}", choice.id);
+            }
+            NoticeEffect::Paused(requested) => log::info!(
+                "event=endpoint-paused endpoint={} requested_ms={} is_bounded={}",
+                choice.id,
+                requested.as_millis(),
+                requested > MAX_PAUSE
+            ),
+        }
+    }
+
     fn build_request(&self, choice: &EndpointChoice, body: Body) -> Request<Body> {
         let mut request = Request::new(body);
         *request.method_mut() = self.plan.method.clone();
--- a/crates/jackdawmux_front/src/request/refusal.rs
+++ b/crates/jackdawmux_front/src/request/refusal.rs
@@ -5,7 +5,7 @@
 use axum::body::Body;
 use axum::http::header::{CONTENT_TYPE, RETRY_AFTER};
 use axum::http::{HeaderValue, Response, StatusCode};
-use jackdawmux_policy::fleet::choice::ChoiceRefusal;
+use jackdawmux_policy::fleet::choice::{ChoiceRefusal, ChoiceRefusalReason};
 use serde_json::json;
 use strum::Display;
 
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Whether the endpoints that are left want no requests for some time.
+    pub(crate) const fn is_paused(self) -> bool {
+        matches!(self, Self::NotChosen(ChoiceRefusal { reason: ChoiceRefusalReason::Paused, .. }))
+    }
+
     /// Kind of the refusal, without the details of the decision.
     fn kind(self) -> String {
         let text = self.to_string();
--- a/crates/jackdawmux_native/src/dialect.rs
+++ b/crates/jackdawmux_native/src/dialect.rs
@@ -5,7 +5,7 @@
 
 use axum::http::StatusCode;
 use axum::http::header::{CONTENT_ENCODING, HeaderMap, HeaderName};
-use jackdawmux_front::dialect::{insert_attempt_headers, query_value};
+use jackdawmux_front::dialect::{insert_attempt_headers, query_value, read_retry_after};
 use jackdawmux_front::{LookupQuery, RequestHeaders, ResponseHeaders, WireDialect};
 use serde::Serialize;
 
@@ -20,6 +20,8 @@
 const OUTCOME: HeaderName = HeaderName::from_static("jackdaw-outcome");
 /// Outcome of a request that was not run.
 const NOT_RUN: &str = "not-run";
+/// `1` in the responses of an upstream that is leaving and wants no further requests.
+const LEAVING: HeaderName = HeaderName::from_static("jackdaw-leaving");
 /// Upstream that should run the request.
 const UPSTREAM: HeaderName = HeaderName::from_static("jackdaw-upstream");
 
@@ -61,6 +63,8 @@
             is_signed: true,
             is_encoded: headers.contains_key(CONTENT_ENCODING),
             load: None,
+            is_leaving: headers.get(LEAVING).is_some_and(|value| value == "1"),
+            retry_after: read_retry_after(status, headers),
         }
     }
 
--- a/crates/jackdawmux_policy/src/fleet/choice.rs
+++ b/crates/jackdawmux_policy/src/fleet/choice.rs
@@ -33,6 +33,26 @@
     pub slots: u32,
 }
 
+/// What the endpoint states about itself in a response, whatever the response is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndpointNotice {
+    /// It is leaving and wants no further requests.
+    pub is_leaving: bool,
+    /// How long it wants no further requests from this instance.
+    pub retry_after: Option<Duration>,
+}
+
+/// Consequence of a notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoticeEffect {
+    /// None: nothing new was stated, or the endpoint is no longer known.
+    None,
+    /// The endpoint gets no further requests until it starts again.
+    Leaving,
+    /// The endpoint gets no requests from this instance for this time.
+    Paused(Duration),
+}
+
 /// Query for the endpoint of one attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct EndpointQuery<'query> {
@@ -57,6 +77,8 @@
     pub id: Arc<str>,
     /// Address that the endpoint listens on.
     pub address: SocketAddr,
+    /// Start of the incarnation in Unix milliseconds; zero if not stated.
+    pub started_ms: u64,
     /// Position in the object's preference order; 0 is the preferred endpoint.
     pub rank: usize,
     /// Whether this instance's previous request for the object went to the same endpoint.
@@ -75,6 +97,8 @@
     Cold,
     /// The retry budget is spent.
     RetryBudget,
+    /// The usable endpoints want no further requests for some time.
+    Paused,
 }
 
 /// Refusal of a query, with the delay after which a retry makes sense.
--- a/crates/jackdawmux_policy/src/fleet/endpoint_state.rs
+++ b/crates/jackdawmux_policy/src/fleet/endpoint_state.rs
@@ -61,6 +61,10 @@
     /// Set while the endpoint is unreachable: how long it counts as cold once it responds again.
     pub(super) cold_after_recovery: Option<Duration>,
     pub(super) lapses_at: Option<PolicyTime>,
+    /// Whether a response of this incarnation stated that it is leaving.
+    pub(super) is_leaving: bool,
+    /// Until when the endpoint wants no further requests from this instance.
+    pub(super) paused_until: PolicyTime,
 }
 
 impl EndpointState {
@@ -78,6 +82,8 @@
             outlier: OutlierState::default(),
             cold_after_recovery: None,
             lapses_at: None,
+            is_leaving: false,
+            paused_until: PolicyTime::default(),
             record,
         };
         state.apply_cold_start(now);
@@ -94,6 +100,14 @@
         self.cold_until = self.cold_until.max(now + span + COLD_MARGIN);
     }
 
+    /// Returns whether new requests may be sent to this incarnation at all, as far as it and its
+    /// registration say.
+    pub(super) fn accepts_requests(&self, now: PolicyTime) -> bool {
+        self.record.phase == EndpointPhase::Ready
+            && !self.is_leaving
+            && self.lapses_at.is_none_or(|end| now < end)
+    }
+
     /// Returns the estimated number of requests that the endpoint holds: those of this instance and
     /// those of others according to its latest report.
     pub(super) fn held_requests(&self, now: PolicyTime) -> f64 {
--- a/crates/jackdawmux_policy/src/fleet/mod.rs
+++ b/crates/jackdawmux_policy/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! divided among the instances.
 
 pub mod affinity;
+pub mod backoff;
 pub mod choice;
 pub mod cold_start;
 pub mod crash_record;
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -11,9 +11,10 @@
 use smallvec::SmallVec;
 
 use super::affinity::rendezvous_score;
+use super::backoff::endpoint_pause;
 use super::choice::{
-    ChoiceRefusal, ChoiceRefusalReason, EndpointChoice, EndpointKey, EndpointQuery, LoadReport,
-    LoadView, refuse,
+    ChoiceRefusal, ChoiceRefusalReason, EndpointChoice, EndpointKey, EndpointNotice, EndpointQuery,
+    LoadReport, LoadView, NoticeEffect, refuse,
 };
 use super::cold_start::{COLD_WINDOW, cold_share};
 use super::crash_record::CrashRecord;
@@ -252,7 +253,9 @@
         let region = self.region_index(&record.domain);
         let service = self.services.entry(record.service.clone()).or_default();
         let Some(state) = service.endpoints.iter_mut().find(|state| state.key == key) else {
-            service.endpoints.push(EndpointState::new(record, region, now));
+            let mut state = EndpointState::new(record, region, now);
+            state.is_leaving = self.restore.was_leaving(now, &state.record);
+            service.endpoints.push(state);
             return EndpointChange::Joined;
         };
         state.lapses_at = None;
@@ -262,8 +265,10 @@
         }
         if change == EndpointChange::Restarted || state.record.address != record.address {
             let in_flight = state.in_flight;
+            let is_leaving = state.is_leaving && change != EndpointChange::Restarted;
             *state = EndpointState::new(record, region, now);
             state.in_flight = in_flight;
+            state.is_leaving = is_leaving;
             return change;
         }
         state.record = record;
@@ -287,7 +292,7 @@
                 return EndpointChange::Lapsed;
             }
             let removed = service.endpoints.swap_remove(index);
-            self.restore.record_removed(now, &removed.record);
+            self.restore.record_removed(now, &removed.record, removed.is_leaving);
             return EndpointChange::Left;
         }
         EndpointChange::Same
@@ -396,7 +401,7 @@
     ) -> Result<EndpointChoice, ChoiceRefusal> {
         let candidates = self.candidates(now, query);
         if candidates.is_empty() {
-            return Err(refuse(ChoiceRefusalReason::NoEndpoint, NO_ENDPOINT_RETRY_AFTER));
+            return Err(self.refuse_without_candidates(now, query));
         }
         let (rank, index) = self.pick(now, query, &candidates)?;
         let instances = self.instances.len();
@@ -415,6 +420,7 @@
             key: state.key,
             id: Arc::clone(&state.id),
             address: state.record.address,
+            started_ms: state.record.started_ms,
             rank,
             is_warm,
         })
@@ -462,6 +468,31 @@
         state.outlier.record(now, outcome, typical_latency_ms)
     }
 
+    /// Records what an endpoint stated about itself in a response to an attempt.
+    pub fn record_notice(
+        &mut self,
+        now: PolicyTime,
+        choice: &EndpointChoice,
+        notice: EndpointNotice,
+    ) -> NoticeEffect {
+        let endpoints = self.services.values_mut().flat_map(|service| &mut service.endpoints);
+        // A late response of an earlier incarnation says nothing about the present one.
+        let mut matching = endpoints.filter(|state| {
+            state.key == choice.key && state.record.started_ms == choice.started_ms
+        });
+        let Some(state) = matching.next() else {
+            return NoticeEffect::None;
+        };
+        if let Some(requested) = notice.retry_after {
+            let pause = endpoint_pause(requested, &self.own, choice.key);
+            state.paused_until = state.paused_until.max(now + pause);
+        }
+        if notice.is_leaving && !std::mem::replace(&mut state.is_leaving, true) {
+            return NoticeEffect::Leaving;
+        }
+        notice.retry_after.map_or(NoticeEffect::None, NoticeEffect::Paused)
+    }
+
     /// Returns the crashes recorded by request.
     #[must_use]
     pub const fn crashes(&self) -> &CrashRecord {
@@ -497,12 +528,7 @@
         let Some(service) = self.services.get(query.service) else {
             return SmallVec::new();
         };
-        let is_eligible = |state: &EndpointState| {
-            state.record.phase == EndpointPhase::Ready
-                && state.lapses_at.is_none_or(|end| now < end)
-                && !self.evacuated.contains(&state.record.domain)
-                && self.is_home(query.route, &state.record.domain)
-        };
+        let is_eligible = |state: &EndpointState| self.is_eligible(now, query.route, state);
         let mut counts = EjectionCounts::default();
         let mut capacity: RegionShares = self.region_names.iter().map(|_| 0.0).collect();
         // Endpoints whose failure domain is unknown share an extra entry at the end.
@@ -516,7 +542,8 @@
         for (index, state) in service.endpoints.iter().enumerate() {
             let is_allowed =
                 counts.is_allowed(state.outlier.ejection(now)) || state.outlier.is_probe_due(now);
-            if !is_allowed || !is_eligible(state) || query.attempted.contains(&state.key) {
+            let is_excluded = now < state.paused_until || query.attempted.contains(&state.key);
+            if !is_allowed || is_excluded || !is_eligible(state) {
                 continue;
             }
             let weight = shares[state.region] * state.slots() / capacity[state.region].max(1.0);
@@ -531,6 +558,32 @@
         best.into_iter().map(|(_score, index)| index).collect()
     }
 
+    /// Returns whether requests of a route may be sent to an endpoint, apart from its ejection and
+    /// the pause that it asked for.
+    fn is_eligible(&self, now: PolicyTime, route: &RouteRecord, state: &EndpointState) -> bool {
+        state.accepts_requests(now)
+            && !self.evacuated.contains(&state.record.domain)
+            && self.is_home(route, &state.record.domain)
+    }
+
+    /// Returns the refusal if no endpoint may be chosen. If endpoints have asked for a pause, it
+    /// ends with the first of these pauses.
+    fn refuse_without_candidates(
+        &self,
+        now: PolicyTime,
+        query: &EndpointQuery<'_>,
+    ) -> ChoiceRefusal {
+        let endpoints = self.services.get(query.service).map(|service| &service.endpoints);
+        let pauses = endpoints
+            .into_iter()
+            .flatten()
+            .filter(|state| now < state.paused_until && self.is_eligible(now, query.route, state));
+        match pauses.map(|state| state.paused_until.since(now)).min() {
+            Some(pause) => refuse(ChoiceRefusalReason::Paused, pause),
+            None => refuse(ChoiceRefusalReason::NoEndpoint, NO_ENDPOINT_RETRY_AFTER),
+        }
+    }
+
     /// Returns the shares of this instance's demand by region. The extra entry for unknown failure
     /// domains has a share only if no region has any capacity.
     fn shares(&self, capacity: &[f64]) -> RegionShares {
