front, policy: instances of a failure domain read updates from one of them

Change: groups of at most 16 instances of a failure domain; the one of highest capacity reads the source, the others long-poll it (HTTP, CBOR, the port of the heartbeats), with the same cursor, position and era. A relay that does not reply in 0.35 of the update deadline, or whose source has not replied for 0.4 of it, is left for the source at once and tried again after 3 s; an instance that does not itself read the source refuses to be a relay, so nothing travels in a circle; a list older than what was read before is not taken. First lists may be old (a tenth of the price), their watches are not. Groups below three read directly, as before.

--- a/crates/jackdawmux_front/src/lib.rs
+++ b/crates/jackdawmux_front/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod dialect;
 pub mod process;
+pub mod relay;
 pub mod request;
 pub mod source;
 pub mod upstream;
@@ -13,5 +14,6 @@
 pub use dialect::{LookupQuery, RequestHeaders, ResponseHeaders, WireDialect};
 pub use process::{FrontError, FrontProcess, FrontSettings};
 pub use source::{
-    FleetSource, FleetUpdate, SourceError, SourceErrorKind, SourcePosition, UpdateBatch, WatchTopic,
+    FleetSource, FleetUpdate, ListFreshness, SourceError, SourceErrorKind, SourcePosition,
+    UpdateBatch, WatchTopic,
 };
--- a/crates/jackdawmux_front/src/process/connectivity.rs
+++ b/crates/jackdawmux_front/src/process/connectivity.rs
@@ -10,7 +10,9 @@
 
 /// Maximum time without a reply of the source after which it is checked. A watch that waits does
 /// not show whether the source still answers.
-const CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
+pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Minimum time between two looks whether a check is due.
+const MIN_CHECK_DELAY: Duration = Duration::from_millis(100);
 /// Time limit of a check. A check that began during an outage may never be answered, so the limit
 /// also bounds how long the recovery of the source goes unnoticed.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
@@ -125,6 +127,12 @@
         self.interruptions.subscribe()
     }
 
+    /// Time since the source last replied; none while it is unreachable or not yet called.
+    pub(crate) fn reply_age(&self) -> Option<Duration> {
+        let replied_at = *self.replied_at.lock().unwrap_or_else(PoisonError::into_inner);
+        self.connected_for().and(replied_at).map(|at| at.elapsed())
+    }
+
     /// How long the source has answered every call; none while it is unreachable or not yet called.
     pub(crate) fn connected_for(&self) -> Option<Duration> {
         match *self.lock() {
@@ -133,13 +141,18 @@
         }
     }
 
-    /// Checks the source whenever it has not replied for `CHECK_INTERVAL`, until the process ends.
-    pub(crate) async fn check_periodically(&self, source: &dyn FleetSource) {
+    /// Checks the source whenever it has not replied for the time that `interval` returns, until the
+    /// process ends.
+    pub(crate) async fn check_periodically(
+        &self,
+        source: &dyn FleetSource,
+        interval: impl Fn() -> Duration,
+    ) {
         loop {
-            let replied_at = *self.replied_at.lock().unwrap_or_else(PoisonError::into_inner);
-            let idle = replied_at.map_or(Duration::ZERO, |at| at.elapsed());
-            if idle < CHECK_INTERVAL || self.connected_for().is_none() {
-                sleep(CHECK_INTERVAL.saturating_sub(idle).max(CHECK_INTERVAL / 10)).await;
+            let interval = interval();
+            let idle = self.reply_age().unwrap_or_default();
+            if idle < interval {
+                sleep((interval - idle).max(MIN_CHECK_DELAY)).await;
                 continue;
             }
             match check(source).await {
--- a/crates/jackdawmux_front/src/process/error.rs
+++ b/crates/jackdawmux_front/src/process/error.rs
@@ -22,6 +22,12 @@
         /// The cause.
         source: std::io::Error,
     },
+    /// The client for reads from relays could not be set up.
+    #[snafu(display("{source}"))]
+    Relay {
+        /// The cause.
+        source: crate::source::SourceError,
+    },
     /// Metrics could not be set up.
     #[snafu(display("{source}"))]
     Metrics {
--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -14,7 +14,8 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::error::{BindSnafu, FrontError, MetricsSnafu, SignalsSnafu};
+use super::connectivity::CHECK_INTERVAL;
+use super::error::{BindSnafu, FrontError, MetricsSnafu, RelaySnafu, SignalsSnafu};
 use super::heartbeat;
 use super::lookup::{lookup_router, metrics_router, ready_router};
 use super::settings::FrontSettings;
@@ -22,9 +23,11 @@
 use super::state_actor::{MaintenanceTick, SetBounds, StateActor};
 use super::watcher::TopicWatcher;
 use crate::dialect::WireDialect;
+use crate::relay::{RelayedSource, relay_router};
 use crate::request::front_router;
 use crate::source::{FleetSource, WatchTopic};
 use jackdawmux_policy::fleet::record::InstanceRecord;
+use jackdawmux_policy::fleet::relay::RelayTimes;
 
 /// Time between runs of the periodic maintenance of the fleet state.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
@@ -82,6 +85,7 @@
     ready: CallerListener,
     directory: CallerListener,
     metrics: Option<CallerListener>,
+    relay: CallerListener,
     tasks: JoinSet<()>,
     _timers: TimerService,
 }
@@ -101,7 +105,12 @@
         let metrics = ProcessMetrics::new().context(MetricsSnafu)?;
         let state = Arc::new(FrontState::new(settings, dialect, metrics, limits_sender));
         let settings = &state.settings;
-        let socket = Arc::new(bind_datagrams(settings.heartbeat_listen).await?);
+        let source: Arc<dyn FleetSource> =
+            Arc::new(RelayedSource::open(source, Arc::clone(&state)).context(RelaySnafu)?);
+        let router = relay_router(Arc::clone(&state));
+        let relay = listen("relay-listen", settings.heartbeat_listen, router, &limits).await?;
+        // Heartbeats and reads from the relay use the same port, which the registration names.
+        let socket = Arc::new(bind_datagrams(relay.address).await?);
         let callers = listen("listen", settings.listen, front_router(Arc::clone(&state)), &limits);
         let callers = callers.await?;
         log::info!(
@@ -139,7 +148,10 @@
         }
         let connectivity = Arc::clone(&state.connectivity);
         let checked = Arc::clone(&source);
-        tasks.spawn(async move { connectivity.check_periodically(checked.as_ref()).await });
+        let interval = check_interval(&state);
+        tasks.spawn(
+            async move { connectivity.check_periodically(checked.as_ref(), interval).await },
+        );
         tasks.spawn(heartbeat::receive_heartbeats(Arc::clone(&socket), state_actor.clone()));
         tasks.spawn(heartbeat::send_periodically(Arc::clone(&state), Arc::clone(&socket)));
         let record = InstanceRecord {
@@ -157,7 +169,18 @@
         let ticks = timers.every(RELOAD_INTERVAL);
         tasks.spawn(reload(state.settings.clone(), reader, hang_up, ticks, state_actor));
         let _timers = timers;
-        Ok(Self { state, source, socket, callers, ready, directory, metrics, tasks, _timers })
+        Ok(Self {
+            state,
+            source,
+            socket,
+            callers,
+            ready,
+            directory,
+            metrics,
+            relay,
+            tasks,
+            _timers,
+        })
     }
 
     /// Address for callers.
@@ -181,8 +204,18 @@
     /// Performs a planned stop: leaves the results of lookups, still serves callers whose lookups
     /// are out of date, then finishes the requests in progress.
     pub async fn leave(self) {
-        let Self { state, source, socket, callers, ready, directory, metrics, mut tasks, _timers } =
-            self;
+        let Self {
+            state,
+            source,
+            socket,
+            callers,
+            ready,
+            directory,
+            metrics,
+            relay,
+            mut tasks,
+            _timers,
+        } = self;
         let started = Instant::now();
         let grace = state.settings.bounds.grace;
         log::info!(
@@ -191,13 +224,15 @@
             grace.as_millis()
         );
         state.enter_phase(FrontPhase::Leaving);
+        // The readers of the group turn to another relay.
+        state.relay.wake_readers();
         let announcement = announce_stop(&state, &socket);
         let withdrawal = withdraw(&state, source.as_ref());
         tokio::join!(announcement, withdrawal);
         sleep_until(started + grace.mul_f64(ACCEPT_SHARE)).await;
         let shutdown_by = started + grace.mul_f64(STOP_SHARE);
         callers.shut_down(shutdown_by.saturating_duration_since(Instant::now())).await;
-        drop((ready, directory, metrics));
+        drop((ready, directory, metrics, relay));
         tasks.shutdown().await;
         log::info!(
             "event=stopped instance={} elapsed_ms={}",
@@ -224,6 +259,16 @@
     UdpSocket::bind(address).await.context(context)
 }
 
+/// How often the source is checked. A relay vouches for the source to the readers of its group.
+fn check_interval(state: &Arc<FrontState>) -> impl Fn() -> Duration + Send + use<> {
+    let state = Arc::clone(state);
+    move || {
+        let times = RelayTimes::new(state.settings.bounds.update_deadline);
+        let is_relay = state.relay.was_read_within(CHECK_INTERVAL);
+        if is_relay { times.check_interval } else { CHECK_INTERVAL }
+    }
+}
+
 fn heartbeat_address(
     socket: &UdpSocket,
     settings: &FrontSettings,
--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -1,10 +1,13 @@
 //! State that the parts of a front share.
 
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
+use jackdawmux_policy::clock::PolicyTime;
 use jackdawmux_policy::fleet::directory::InstanceDirectory;
 use jackdawmux_policy::fleet::freshness::FreshnessTracker;
+use jackdawmux_policy::fleet::relay::{ReadPath, RelaySuspicions};
 use jackdawmux_policy::fleet::steering::FleetSteering;
 use jackdawmux_runtime::{ListenerLimits, ProcessClock, ProcessMetrics};
 use strum::{Display, EnumCount, FromRepr};
@@ -13,9 +16,14 @@
 use super::connectivity::SourceConnectivity;
 use super::settings::FrontSettings;
 use crate::dialect::WireDialect;
+use crate::relay::RelayHub;
 use crate::source::{SourcePosition, WatchTopic};
 use crate::upstream::UpstreamPool;
 
+/// Time after the start of the process within which it may wait to learn whether its group has a
+/// relay.
+const RELAY_DECISION_TIME: Duration = Duration::from_secs(2);
+
 /// Phase in the life cycle of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, FromRepr)]
 #[strum(serialize_all = "kebab-case")]
@@ -40,6 +48,12 @@
     pub(crate) limits: watch::Sender<ListenerLimits>,
     pub(crate) incarnation: u64,
     pub(crate) connectivity: Arc<SourceConnectivity>,
+    pub(crate) relay: RelayHub,
+    /// Counts the suspicions of relays, which end the reads that wait for a reply.
+    pub(crate) relay_suspicions: watch::Sender<u64>,
+    suspicions: Mutex<RelaySuspicions>,
+    /// Whether the next list of a topic is read from the source itself.
+    pub(crate) bypasses_relay: [AtomicBool; WatchTopic::COUNT],
     /// Notified when this instance's registration was removed or lost.
     pub(crate) registration_lost: Notify,
     /// Notified when a peer has applied an update of a topic that this instance has not.
@@ -72,6 +86,10 @@
             limits,
             incarnation: rand::random(),
             connectivity: Arc::default(),
+            relay: RelayHub::default(),
+            relay_suspicions: watch::Sender::new(0),
+            suspicions: Mutex::default(),
+            bypasses_relay: Default::default(),
             registration_lost: Notify::new(),
             is_behind: Default::default(),
             steering: Mutex::new(steering),
@@ -103,6 +121,28 @@
         self.registered_at.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Selects from where updates are read.
+    pub(crate) fn read_path(&self) -> ReadPath {
+        let suspicions = self.suspicions.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = self.clock.now();
+        let is_starting = now.since(PolicyTime::default()) < RELAY_DECISION_TIME;
+        self.directory().read_path(now, &suspicions, is_starting)
+    }
+
+    /// Reads from another instance than this relay for a while. Returns whether it was not suspected
+    /// before.
+    pub(crate) fn suspect_relay(&self, relay: &str) -> bool {
+        let now = self.clock.now();
+        let mut suspicions = self.suspicions.lock().unwrap_or_else(PoisonError::into_inner);
+        if suspicions.contains(now, relay) {
+            return false;
+        }
+        suspicions.record(now, relay);
+        drop(suspicions);
+        self.relay_suspicions.send_modify(|count| *count += 1);
+        true
+    }
+
     /// Current phase of the process.
     pub(crate) fn phase(&self) -> FrontPhase {
         FrontPhase::from_repr(self.phase.load(Ordering::Relaxed)).unwrap_or(FrontPhase::Starting)
--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -9,6 +9,7 @@
 use jackdawmux_policy::fleet::choice::EndpointKey;
 use jackdawmux_policy::fleet::endpoint_state::EndpointChange;
 use jackdawmux_policy::fleet::record::{CallerLimits, ConfigRecord, FleetBounds, InstanceRecord};
+use jackdawmux_policy::fleet::relay::{ReadPath, RelayTimes};
 use jackdawmux_runtime::ListenerLimits;
 use kameo::Actor;
 use kameo::message::{Context, Message};
@@ -140,9 +141,12 @@
             log::info!("event=restore-settled");
             self.state.is_behind.iter().for_each(Notify::notify_one);
         }
+        let is_direct = self.state.read_path() == ReadPath::Direct;
+        let times = RelayTimes::new(self.state.settings.bounds.update_deadline);
+        let relay_delay = if is_direct { Duration::ZERO } else { times.batch_delay };
         let mut freshness = self.state.freshness();
         for topic in WatchTopic::iter() {
-            if freshness.take_behind(now, topic, BEHIND_GRACE) {
+            if freshness.take_behind(now, topic, BEHIND_GRACE + relay_delay) {
                 self.state.is_behind[topic as usize].notify_one();
             }
         }
--- a/crates/jackdawmux_front/src/process/watcher.rs
+++ b/crates/jackdawmux_front/src/process/watcher.rs
@@ -1,8 +1,10 @@
 //! Watches one topic of the source: reads the full list, then the changes.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use jackdawmux_policy::fleet::relay::RelayTimes;
 use jackdawmux_policy::fleet::watch_cursor::{CallOutcome, ReplyUse, SourceCall, WatchCursor};
 use kameo::actor::ActorRef;
 use tokio::time::sleep;
@@ -10,7 +12,9 @@
 use super::connectivity::check;
 use super::state::FrontState;
 use super::state_actor::{ApplyUpdates, SourceRecovered, StateActor};
-use crate::source::{FleetSource, SourceError, SourceErrorKind, UpdateBatch, WatchTopic};
+use crate::source::{
+    FleetSource, ListFreshness, SourceError, SourceErrorKind, UpdateBatch, WatchTopic,
+};
 
 /// How long one watch waits for updates.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(12);
@@ -21,6 +25,8 @@
 /// The same delay for instances; it may be longer, because heartbeats show sooner whether an
 /// instance is up.
 const INSTANCES_BATCH_DELAY: Duration = Duration::from_secs(1);
+/// Time since the last read by another instance within which this one counts as a relay.
+const RELAY_ACTIVITY: Duration = Duration::from_secs(5);
 /// Backoff after the first failed call; doubles up to `MAX_BACKOFF`.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// Maximum backoff after failed calls; updates must be applied within two seconds of the source's
@@ -82,9 +88,7 @@
                     let (position, is_empty) = (batch.position, batch.updates.is_empty());
                     let outcome = CallOutcome::Answered { position, is_empty };
                     match cursor.record(call, outcome) {
-                        ReplyUse::Apply if !self.deliver(batch, call == SourceCall::List).await => {
-                            return;
-                        }
+                        ReplyUse::Apply if !self.deliver(call, batch).await => return,
                         ReplyUse::Apply => {}
                         ReplyUse::Discard => {
                             log::info!("event=reply-discarded topic={} at={position}", self.topic);
@@ -106,6 +110,7 @@
                     let _discarded = cursor.record(call, CallOutcome::Failed);
                 }
                 CallEnd::Behind => {
+                    self.state.bypasses_relay[self.topic as usize].store(true, Ordering::Relaxed);
                     log::info!("event=peer-ahead topic={}", self.topic);
                     cursor.restart();
                 }
@@ -117,7 +122,11 @@
         let mut interruptions = self.state.connectivity.interruptions();
         let returned = async {
             match call {
-                SourceCall::List => self.source.list(self.topic).await,
+                SourceCall::List { is_first } => {
+                    let freshness =
+                        if is_first { ListFreshness::MayBeOld } else { ListFreshness::Current };
+                    self.source.list(self.topic, freshness).await
+                }
                 SourceCall::Watch { position } => {
                     self.source.watch(self.topic, position, WATCH_TIMEOUT).await
                 }
@@ -138,18 +147,35 @@
         end
     }
 
-    async fn deliver(&self, batch: UpdateBatch, is_full_list: bool) -> bool {
-        let is_empty = batch.updates.is_empty();
+    async fn deliver(&self, call: SourceCall, batch: UpdateBatch) -> bool {
+        let from = match call {
+            SourceCall::List { .. } => None,
+            SourceCall::Watch { position } => Some(position),
+        };
+        self.state.relay.record(self.topic, from, &batch);
+        let is_full_list = from.is_none();
+        // A relay has already waited for further updates.
+        let is_delayed = !batch.updates.is_empty() && !batch.is_relayed;
         let message = ApplyUpdates { topic: self.topic, batch, is_full_list };
         let is_delivered = self.state_actor.tell(message).await.is_ok();
-        if !is_empty {
-            let is_instances = self.topic == WatchTopic::Instances;
-            let delay = self.update_deadline.mul_f64(BATCH_DELAY_SHARE);
-            sleep(if is_instances { INSTANCES_BATCH_DELAY } else { delay }).await;
+        if is_delayed {
+            sleep(self.batch_delay()).await;
         }
         is_delivered
     }
 
+    /// Delay after a batch from the source, in which further updates accumulate. A relay saves its
+    /// readers the calls, so it may read more often.
+    fn batch_delay(&self) -> Duration {
+        if self.state.relay.was_read_within(RELAY_ACTIVITY) {
+            return RelayTimes::new(self.update_deadline).batch_delay;
+        }
+        match self.topic {
+            WatchTopic::Instances => INSTANCES_BATCH_DELAY,
+            _ => self.update_deadline.mul_f64(BATCH_DELAY_SHARE),
+        }
+    }
+
     async fn record_success(&self) {
         let Some(outage) = self.state.connectivity.record_success() else {
             return;
--- /dev/null
+++ b/crates/jackdawmux_front/src/relay/server.rs
@@ -0,0 +1,92 @@
+//! Serves reads of other instances of the group.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::{Query, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use jackdawmux_policy::fleet::position::WatchTopic;
+use jackdawmux_policy::fleet::relay::{KeptUpdates, ReadPath, RelayTimes, RelayedChanges};
+use strum::IntoEnumIterator;
+use tokio::time::{Instant, timeout_at};
+
+use super::wire::{RelayQuery, RelayedBatch, UPDATES_PATH, encode_batch};
+use crate::process::{FrontPhase, FrontState};
+
+/// Longest time for which a read is held.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+/// Router of the address for other instances.
+pub(crate) fn relay_router(state: Arc<FrontState>) -> Router {
+    Router::new().route(UPDATES_PATH, get(read_updates)).with_state(state)
+}
+
+/// Replies with updates, with 204 if there are none, with 410 if they are no longer kept, or with
+/// 409 if this instance must not be used as a relay.
+async fn read_updates(
+    State(state): State<Arc<FrontState>>,
+    Query(query): Query<RelayQuery>,
+) -> Response {
+    let Some(topic) = WatchTopic::iter().find(|topic| topic.to_string() == query.topic) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    state.relay.record_read();
+    let wait = Duration::from_millis(query.wait_ms).min(MAX_WAIT);
+    let deadline = Instant::now() + wait;
+    let mut changes = state.relay.changes();
+    loop {
+        if !is_relay(&state) {
+            return StatusCode::CONFLICT.into_response();
+        }
+        let is_late = Instant::now() >= deadline;
+        if let Some(response) = reply(&state, topic, &query, is_late) {
+            return response;
+        }
+        let _changed_or_elapsed = timeout_at(deadline, changes.changed()).await;
+    }
+}
+
+/// Whether this instance reads the source itself and knows that the source answers.
+fn is_relay(state: &FrontState) -> bool {
+    let times = RelayTimes::new(state.settings.bounds.update_deadline);
+    let is_direct = matches!(state.read_path(), ReadPath::Direct);
+    let is_fresh = state.connectivity.reply_age().is_some_and(|age| age <= times.max_age);
+    is_direct && is_fresh && state.phase() != FrontPhase::Leaving
+}
+
+fn reply(
+    state: &FrontState,
+    topic: WatchTopic,
+    query: &RelayQuery,
+    is_late: bool,
+) -> Option<Response> {
+    let log = state.relay.log(topic);
+    let kept = match query.position() {
+        None => match log.list() {
+            Some(list) => list,
+            None => return Some(StatusCode::CONFLICT.into_response()),
+        },
+        Some(after) => match log.changes_after(after) {
+            RelayedChanges::HistoryGone => return Some(StatusCode::GONE.into_response()),
+            RelayedChanges::Unchanged => {
+                return is_late.then(|| StatusCode::NO_CONTENT.into_response());
+            }
+            RelayedChanges::Updates(kept) => kept,
+        },
+    };
+    drop(log);
+    let KeptUpdates { position, newest_revision, updates } = kept;
+    let (era, revision) = (position.era, position.revision);
+    let batch = RelayedBatch { era, revision, newest_revision, updates };
+    Some(match encode_batch(&batch) {
+        Ok(bytes) => Bytes::from(bytes).into_response(),
+        Err(error) => {
+            log::error!("event=relay-unsent topic={topic} error={error:?}");
+            StatusCode::INTERNAL_SERVER_ERROR.into_response()
+        }
+    })
+}
--- /dev/null
+++ b/crates/jackdawmux_front/src/relay/source.rs
@@ -0,0 +1,273 @@
+//! Source that reads from the relay of the own group, and from the actual source if there is none.
+
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use jackdawmux_policy::fleet::position::{SourcePosition, WatchTopic};
+use jackdawmux_policy::fleet::record::InstanceRecord;
+use jackdawmux_policy::fleet::relay::{ReadPath, RelayTimes};
+use reqwest::{Client, StatusCode};
+use strum::EnumCount;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::wire::{RelayQuery, RelayedBatch, UPDATES_PATH, decode_batch};
+use crate::process::FrontState;
+use crate::source::{
+    FleetSource, ListFreshness, SourceError, SourceErrorKind, SourceFuture, UpdateBatch,
+};
+
+/// Longest wait, after the start, to learn whether the group has a relay.
+const MAX_DECISION_TIME: Duration = Duration::from_secs(3);
+/// Time between looks whether it has.
+const DECISION_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest wait of a watch at the source while the group has a relay that did not reply, after which
+/// the relay is tried again.
+const FALLBACK_WAIT: Duration = Duration::from_secs(2);
+/// Multiple of the wait at a relay for topics other than that of the endpoints, whose reads show
+/// often enough whether the relay still replies.
+const LONG_WAIT_FACTOR: u32 = 5;
+
+/// Reads updates over the relay of the own group.
+#[derive(Debug)]
+pub struct RelayedSource {
+    source: Arc<dyn FleetSource>,
+    state: Arc<FrontState>,
+    client: Client,
+    opened: Instant,
+    /// Position of the latest batch of each topic. A relay that is behind it is not read.
+    positions: Mutex<[SourcePosition; WatchTopic::COUNT]>,
+}
+
+/// Reply of a relay.
+enum RelayReply {
+    Updates(RelayedBatch),
+    /// There are no updates after the reader's position.
+    Unchanged,
+    HistoryGone,
+}
+
+impl RelayedSource {
+    /// Opens a reader of the relays that `state` selects, with `source` behind them.
+    ///
+    /// # Errors
+    /// When the HTTP client cannot be set up.
+    pub fn open(source: Arc<dyn FleetSource>, state: Arc<FrontState>) -> Result<Self, SourceError> {
+        let times = RelayTimes::new(state.settings.bounds.update_deadline);
+        let client = Client::builder()
+            .connect_timeout(times.reply_timeout.saturating_sub(times.wait))
+            .no_proxy()
+            .tcp_nodelay(true)
+            .pool_max_idle_per_host(WatchTopic::COUNT)
+            .build()
+            .map_err(|error| relay_error("relay-open", "-", &error))?;
+        let positions = Mutex::default();
+        Ok(Self { source, state, client, opened: Instant::now(), positions })
+    }
+
+    /// Waits, shortly after the start, until it is known whether the group has a relay.
+    async fn decide(&self) -> ReadPath {
+        loop {
+            match self.state.read_path() {
+                ReadPath::Undecided if self.opened.elapsed() < MAX_DECISION_TIME => {
+                    sleep(DECISION_INTERVAL).await;
+                }
+                path => return path,
+            }
+        }
+    }
+
+    async fn list_relayed(
+        &self,
+        topic: WatchTopic,
+        freshness: ListFreshness,
+    ) -> Result<UpdateBatch, SourceError> {
+        let is_bypassed = self.state.bypasses_relay[topic as usize].swap(false, Ordering::Relaxed);
+        if !is_bypassed && let ReadPath::Relay(relay) = self.state.read_path() {
+            match self.read(&relay, topic, None, Duration::ZERO).await {
+                Ok(RelayReply::Updates(batch)) if self.is_current(topic, &batch) => {
+                    return Ok(self.accept(topic, batch));
+                }
+                Ok(_) => {}
+                Err(error) => self.suspect(&relay, &error),
+            }
+        }
+        let batch = self.source.list(topic, freshness).await?;
+        self.record_position(topic, batch.position);
+        Ok(batch)
+    }
+
+    async fn watch_relayed(
+        &self,
+        topic: WatchTopic,
+        position: SourcePosition,
+        wait: Duration,
+    ) -> Result<UpdateBatch, SourceError> {
+        let deadline = Instant::now() + wait;
+        // How instances find each other cannot depend on a relay.
+        let mut path = if topic == WatchTopic::Instances {
+            self.state.read_path()
+        } else {
+            self.decide().await
+        };
+        let mut is_fallback = false;
+        while let ReadPath::Relay(relay) = path {
+            let read = self.read(&relay, topic, Some(position), self.relay_wait(topic)).await;
+            match read {
+                Ok(RelayReply::Updates(batch)) => return Ok(self.accept(topic, batch)),
+                Ok(RelayReply::HistoryGone) => {
+                    let kind = SourceErrorKind::HistoryGone;
+                    let (step, peer) = ("relay-watch", relay.name.clone());
+                    return Err(SourceError { step, peer, kind, reason: "status 410".to_owned() });
+                }
+                Ok(RelayReply::Unchanged) if Instant::now() >= deadline => {
+                    return Ok(UpdateBatch::unchanged(position));
+                }
+                Ok(RelayReply::Unchanged) => {}
+                Err(error) => {
+                    self.suspect(&relay, &error);
+                    is_fallback = true;
+                }
+            }
+            path = self.state.read_path();
+        }
+        let wait =
+            if is_fallback || path == ReadPath::Undecided { wait.min(FALLBACK_WAIT) } else { wait };
+        let batch = self.source.watch(topic, position, wait).await?;
+        if !batch.updates.is_empty() {
+            self.record_position(topic, batch.position);
+        }
+        Ok(batch)
+    }
+
+    /// Reads from a relay. Ends at once if another read finds that it does not reply.
+    async fn read(
+        &self,
+        relay: &InstanceRecord,
+        topic: WatchTopic,
+        position: Option<SourcePosition>,
+        wait: Duration,
+    ) -> Result<RelayReply, SourceError> {
+        let mut suspicions = self.state.relay_suspicions.subscribe();
+        let times = RelayTimes::new(self.state.settings.bounds.update_deadline);
+        let limit = wait + times.reply_timeout.saturating_sub(times.wait);
+        let reading = timeout(limit, self.request(relay, topic, position, wait));
+        tokio::select! {
+            biased;
+            result = reading => result.unwrap_or_else(|_elapsed| {
+                let reason = "no reply in time".to_owned();
+                let (step, kind) = ("relay-read", SourceErrorKind::NoReply);
+                Err(SourceError { step, peer: relay.name.clone(), kind, reason })
+            }),
+            _ = suspicions.changed() => {
+                let reason = "another read failed".to_owned();
+                let (step, kind) = ("relay-read", SourceErrorKind::NoReply);
+                Err(SourceError { step, peer: relay.name.clone(), kind, reason })
+            }
+        }
+    }
+
+    async fn request(
+        &self,
+        relay: &InstanceRecord,
+        topic: WatchTopic,
+        position: Option<SourcePosition>,
+        wait: Duration,
+    ) -> Result<RelayReply, SourceError> {
+        let query = RelayQuery {
+            topic: topic.to_string(),
+            era: position.map(|position| position.era),
+            revision: position.map(|position| position.revision),
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+        };
+        let url = format!("http://{}{UPDATES_PATH}", relay.heartbeat_address);
+        let request = self.client.get(url).query(&query);
+        let failed = |error: &dyn std::fmt::Display| relay_error("relay-read", &relay.name, error);
+        let response = request.send().await.map_err(|error| failed(&error))?;
+        match response.status() {
+            StatusCode::OK => {
+                let bytes = response.bytes().await.map_err(|error| failed(&error))?;
+                let batch = decode_batch(&bytes).map_err(|error| failed(&error))?;
+                Ok(RelayReply::Updates(batch))
+            }
+            StatusCode::NO_CONTENT => Ok(RelayReply::Unchanged),
+            StatusCode::GONE => Ok(RelayReply::HistoryGone),
+            status => Err(failed(&format_args!("status {}", status.as_u16()))),
+        }
+    }
+
+    fn relay_wait(&self, topic: WatchTopic) -> Duration {
+        let times = RelayTimes::new(self.state.settings.bounds.update_deadline);
+        match topic {
+            WatchTopic::Endpoints => times.wait,
+            WatchTopic::Config | WatchTopic::Evacuations | WatchTopic::Instances => {
+                times.wait * LONG_WAIT_FACTOR
+            }
+        }
+    }
+
+    /// Whether a list of a relay is at least as new as what was read before.
+    fn is_current(&self, topic: WatchTopic, batch: &RelayedBatch) -> bool {
+        let position = SourcePosition { era: batch.era, revision: batch.revision };
+        let positions = self.positions.lock().unwrap_or_else(PoisonError::into_inner);
+        position >= positions[topic as usize]
+    }
+
+    fn accept(&self, topic: WatchTopic, batch: RelayedBatch) -> UpdateBatch {
+        let RelayedBatch { era, revision, newest_revision, updates } = batch;
+        let position = SourcePosition { era, revision };
+        self.record_position(topic, position);
+        UpdateBatch { updates, position, newest_revision, is_relayed: true }
+    }
+
+    fn record_position(&self, topic: WatchTopic, position: SourcePosition) {
+        let mut positions = self.positions.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = &mut positions[topic as usize];
+        *known = position.max(*known);
+    }
+
+    fn suspect(&self, relay: &InstanceRecord, error: &SourceError) {
+        if self.state.suspect_relay(&relay.name) {
+            log::info!("event=relay-suspected relay={} {error}", relay.name);
+        }
+    }
+}
+
+impl FleetSource for RelayedSource {
+    fn list(&self, topic: WatchTopic, freshness: ListFreshness) -> SourceFuture<'_, UpdateBatch> {
+        Box::pin(self.list_relayed(topic, freshness))
+    }
+
+    fn watch(
+        &self,
+        topic: WatchTopic,
+        position: SourcePosition,
+        wait: Duration,
+    ) -> SourceFuture<'_, UpdateBatch> {
+        Box::pin(self.watch_relayed(topic, position, wait))
+    }
+
+    fn era(&self) -> u64 {
+        self.source.era()
+    }
+
+    fn check(&self) -> SourceFuture<'_, ()> {
+        self.source.check()
+    }
+
+    fn register<'call>(
+        &'call self,
+        record: &'call InstanceRecord,
+    ) -> SourceFuture<'call, SourcePosition> {
+        self.source.register(record)
+    }
+
+    fn withdraw<'call>(&'call self, instance: &'call str) -> SourceFuture<'call, ()> {
+        self.source.withdraw(instance)
+    }
+}
+
+fn relay_error(step: &'static str, peer: &str, error: &dyn std::fmt::Display) -> SourceError {
+    let kind = SourceErrorKind::NoReply;
+    SourceError { step, peer: peer.to_owned(), kind, reason: error.to_string() }
+}
--- /dev/null
+++ b/crates/jackdawmux_front/src/relay/wire.rs
@@ -0,0 +1,64 @@
+//! Messages of relays: updates as CBOR in the bodies of HTTP responses.
+
+use std::io;
+
+use jackdawmux_policy::fleet::position::SourcePosition;
+use serde::{Deserialize, Serialize};
+
+use crate::source::FleetUpdate;
+
+/// Path of reads from a relay.
+pub(super) const UPDATES_PATH: &str = "/relay/updates";
+
+/// Read from a relay, as the query of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct RelayQuery {
+    /// Topic, as in the logs.
+    pub(super) topic: String,
+    /// Position of the reader; none to read the full list.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) era: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) revision: Option<u64>,
+    /// How long the relay may hold the read if it has no updates, in milliseconds.
+    #[serde(default)]
+    pub(super) wait_ms: u64,
+}
+
+impl RelayQuery {
+    /// Position of the reader.
+    pub(super) fn position(&self) -> Option<SourcePosition> {
+        Some(SourcePosition { era: self.era?, revision: self.revision? })
+    }
+}
+
+/// Updates in the reply of a relay.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RelayedBatch {
+    /// Era of the position after the updates.
+    pub era: u64,
+    /// Revision of the position after the updates.
+    pub revision: u64,
+    /// Revision of the newest change among the updates.
+    pub newest_revision: u64,
+    /// The updates, in the order in which they are applied.
+    pub updates: Vec<FleetUpdate>,
+}
+
+/// Encodes a reply.
+///
+/// # Errors
+/// When it cannot be represented in CBOR.
+pub fn encode_batch(batch: &RelayedBatch) -> io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(batch, &mut bytes).map_err(io::Error::other)?;
+    Ok(bytes)
+}
+
+/// Decodes a reply.
+///
+/// # Errors
+/// When the bytes are not an encoded reply.
+pub fn decode_batch(bytes: &[u8]) -> io::Result<RelayedBatch> {
+    ciborium::from_reader(bytes).map_err(io::Error::other)
+}
--- a/crates/jackdawmux_front/src/source.rs
+++ b/crates/jackdawmux_front/src/source.rs
@@ -5,11 +5,12 @@
 
 pub use jackdawmux_policy::fleet::position::{SourcePosition, WatchTopic};
 use jackdawmux_policy::fleet::record::{ConfigRecord, EndpointRecord, InstanceRecord};
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use strum::Display;
 
 /// One change to the fleet state.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FleetUpdate {
     /// A complete version of the configuration.
     Config(Box<ConfigRecord>),
@@ -27,6 +28,43 @@
     InstanceRemoved(String),
 }
 
+impl FleetUpdate {
+    /// Name of the object that changed, unique in its topic.
+    #[must_use]
+    pub fn name(&self) -> String {
+        match self {
+            Self::Config(_) => String::new(),
+            Self::Endpoint(record, _) => record.id.clone(),
+            Self::Instance(record) => record.name.clone(),
+            Self::EndpointRemoved(name)
+            | Self::EvacuationStarted(name)
+            | Self::EvacuationEnded(name)
+            | Self::InstanceRemoved(name) => name.clone(),
+        }
+    }
+
+    /// Whether the object exists after the change.
+    #[must_use]
+    pub const fn object_exists(&self) -> bool {
+        match self {
+            Self::Config(_)
+            | Self::Endpoint(..)
+            | Self::EvacuationStarted(_)
+            | Self::Instance(_) => true,
+            Self::EndpointRemoved(_) | Self::EvacuationEnded(_) | Self::InstanceRemoved(_) => false,
+        }
+    }
+}
+
+/// How old the data of a list may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListFreshness {
+    /// As of the call.
+    Current,
+    /// Some seconds old, for a reader that knows nothing yet and watches from there.
+    MayBeOld,
+}
+
 /// Updates with the position from which the next watch continues.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UpdateBatch {
@@ -36,6 +74,16 @@
     pub position: SourcePosition,
     /// Revision of the newest change among the updates; zero if there is none.
     pub newest_revision: u64,
+    /// Whether another instance has read them from the source.
+    pub is_relayed: bool,
+}
+
+impl UpdateBatch {
+    /// A reply without updates.
+    #[must_use]
+    pub const fn unchanged(position: SourcePosition) -> Self {
+        Self { updates: Vec::new(), position, newest_revision: 0, is_relayed: false }
+    }
 }
 
 /// Why a call to the source failed.
@@ -73,8 +121,8 @@
 
 /// Source of fleet updates and registry of instances.
 pub trait FleetSource: Send + Sync + std::fmt::Debug {
-    /// Reads the full current list of a topic.
-    fn list(&self, topic: WatchTopic) -> SourceFuture<'_, UpdateBatch>;
+    /// Reads the full list of a topic.
+    fn list(&self, topic: WatchTopic, freshness: ListFreshness) -> SourceFuture<'_, UpdateBatch>;
 
     /// Waits up to `wait` for updates after a position.
     fn watch(
--- a/crates/jackdawmux_native/src/source.rs
+++ b/crates/jackdawmux_native/src/source.rs
@@ -5,7 +5,8 @@
 
 use jackdawmux_front::source::SourceFuture;
 use jackdawmux_front::{
-    FleetSource, FleetUpdate, SourceError, SourceErrorKind, SourcePosition, UpdateBatch, WatchTopic,
+    FleetSource, FleetUpdate, ListFreshness, SourceError, SourceErrorKind, SourcePosition,
+    UpdateBatch, WatchTopic,
 };
 use jackdawmux_policy::fleet::record::InstanceRecord;
 use jackdawmux_rules::{FleetRules, parse_rules, render_diagnostics};
@@ -123,7 +124,7 @@
 }
 
 impl FleetSource for RulesSource {
-    fn list(&self, topic: WatchTopic) -> SourceFuture<'_, UpdateBatch> {
+    fn list(&self, topic: WatchTopic, _: ListFreshness) -> SourceFuture<'_, UpdateBatch> {
         Box::pin(self.list_topic(topic))
     }
 
@@ -164,5 +165,5 @@
 /// Updates as of a version of the object that holds them. The store keeps one history.
 const fn batch(updates: Vec<FleetUpdate>, version: u64) -> UpdateBatch {
     let position = SourcePosition::first_era(version);
-    UpdateBatch { updates, position, newest_revision: version }
+    UpdateBatch { updates, position, newest_revision: version, is_relayed: false }
 }
--- a/crates/jackdawmux_policy/src/fleet/directory.rs
+++ b/crates/jackdawmux_policy/src/fleet/directory.rs
@@ -7,6 +7,7 @@
 
 use super::placement::MAX_LOOKUP_INSTANCES;
 use super::record::InstanceRecord;
+use super::relay::{ReadPath, RelaySuspicions, read_path, relay_group};
 use crate::clock::PolicyTime;
 
 /// Minimum interval between heartbeats to one instance.
@@ -44,6 +45,9 @@
 struct HeartbeatState {
     at: PolicyTime,
     is_serving: bool,
+    /// Whether any heartbeat so far said that it serves. An instance that no longer does is
+    /// leaving; one that never did is starting.
+    has_served: bool,
 }
 
 /// The instances as seen by this instance.
@@ -101,9 +105,13 @@
 
     /// Records a heartbeat of an instance and whether that instance serves callers.
     pub fn record_heartbeat(&mut self, now: PolicyTime, name: &str, is_serving: bool) {
-        let state = HeartbeatState { at: now, is_serving };
+        let has_served = is_serving;
+        let state = HeartbeatState { at: now, is_serving, has_served };
         match self.heartbeats.get_mut(name) {
-            Some(heartbeat) => *heartbeat = state,
+            Some(heartbeat) => {
+                *heartbeat =
+                    HeartbeatState { has_served: has_served || heartbeat.has_served, ..state };
+            }
             None => {
                 self.heartbeats.insert(name.to_owned(), state);
             }
@@ -173,9 +181,52 @@
             .clamp(MIN_HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL)
     }
 
+    /// Selects from where this instance reads updates. An instance that `is_starting` waits until it
+    /// has heard all others of its group, as they would else select different relays.
+    #[must_use]
+    pub fn read_path(
+        &self,
+        now: PolicyTime,
+        suspicions: &RelaySuspicions,
+        is_starting: bool,
+    ) -> ReadPath {
+        let group = self.relay_group();
+        let timeout = self.heartbeat_timeout();
+        let is_live = |record: &InstanceRecord| {
+            let heartbeat = self.heartbeats.get(&record.name);
+            heartbeat.is_some_and(|heartbeat| {
+                now.since(heartbeat.at) <= timeout
+                    && (heartbeat.is_serving || !heartbeat.has_served)
+                    && !suspicions.contains(now, &record.name)
+            })
+        };
+        let is_heard = |record: &InstanceRecord| {
+            record.name == self.own || self.heartbeats.contains_key(&record.name)
+        };
+        if is_starting && !group.iter().all(|record| is_heard(record)) {
+            return ReadPath::Undecided;
+        }
+        read_path(&self.own, &group, is_live)
+    }
+
+    /// Returns the instances with which this one shares a relay, including itself; empty until it
+    /// knows its own registration.
+    fn relay_group(&self) -> Vec<&InstanceRecord> {
+        let Some(own) = self.registered.get(&self.own) else {
+            return Vec::new();
+        };
+        let domain: Vec<&InstanceRecord> =
+            self.registered.values().filter(|record| record.domain == own.domain).collect();
+        relay_group(&self.own, &domain)
+    }
+
+    fn heartbeat_timeout(&self) -> Duration {
+        self.heartbeat_interval() * MAX_MISSED_HEARTBEATS
+    }
+
     /// Returns the instances that receive heartbeats from this one. In a large fleet these are the
     /// next ones in the order of names, so that every instance is received by about equally many
-    /// others and the cost per instance stays constant.
+    /// others and the cost per instance stays constant, and those of the own relay group.
     #[must_use]
     pub fn peers(&self) -> Vec<&InstanceRecord> {
         let mut regions: BTreeMap<&str, Vec<&InstanceRecord>> = BTreeMap::new();
@@ -191,11 +242,17 @@
         let Some(position) = own_position else {
             return self.registered.values().filter(|record| record.name != self.own).collect();
         };
-        let mut peers = Vec::new();
+        let mut peers: Vec<&InstanceRecord> = Vec::new();
         for (region, records) in regions {
             if Some(region) == own_region {
-                let following = records.iter().cycle().skip(position + 1);
-                peers.extend(following.take(OWN_REGION_FAN_OUT.min(records.len() - 1)));
+                let group = self.relay_group();
+                let is_member =
+                    |record: &InstanceRecord| group.iter().any(|member| member.name == record.name);
+                let members = group.iter().filter(|member| member.name != self.own);
+                peers.extend(members);
+                let following = records.iter().cycle().skip(position + 1).take(records.len() - 1);
+                let others = following.filter(|record| !is_member(record));
+                peers.extend(others.take(OWN_REGION_FAN_OUT.saturating_sub(group.len() - 1)));
             } else {
                 let following = records.iter().cycle().skip(position * OTHER_REGION_FAN_OUT);
                 peers.extend(following.take(OTHER_REGION_FAN_OUT.min(records.len())));
@@ -208,7 +265,7 @@
     /// serving.
     #[must_use]
     pub fn live(&self, now: PolicyTime) -> Vec<InstanceView<'_>> {
-        let timeout = self.heartbeat_interval() * MAX_MISSED_HEARTBEATS;
+        let timeout = self.heartbeat_timeout();
         self.registered
             .values()
             .filter(|record| {
--- a/crates/jackdawmux_policy/src/fleet/mod.rs
+++ b/crates/jackdawmux_policy/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 pub mod position;
 pub mod record;
 pub mod region_share;
+pub mod relay;
 pub mod restore;
 pub mod retry_share;
 pub mod routing;
--- a/crates/jackdawmux_policy/src/fleet/record.rs
+++ b/crates/jackdawmux_policy/src/fleet/record.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 /// Whether an endpoint accepts requests, as stated in its registration.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointPhase {
     /// Accepts requests.
     Ready,
@@ -16,7 +17,7 @@
 }
 
 /// Registration of an endpoint.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointRecord {
     /// Identity of this incarnation; several incarnations share it if the endpoint keeps its
     /// identity across restarts.
@@ -38,7 +39,7 @@
 }
 
 /// Registration of an instance of this system.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceRecord {
     /// Name, unique in the deployment.
     pub name: String,
@@ -55,7 +56,7 @@
 }
 
 /// Whether a request may run more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RepeatRule {
     /// The request may be repeated.
     Idempotent,
@@ -64,7 +65,7 @@
 }
 
 /// One of the services that a route sends requests to.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteTarget {
     /// Name of the service.
     pub service: String,
@@ -73,7 +74,7 @@
 }
 
 /// A route from the operator's configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteRecord {
     /// Name used in logs and metrics.
     pub name: String,
@@ -100,7 +101,7 @@
 }
 
 /// The operator's settings for a service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceRecord {
     /// Name of the service.
     pub name: String,
@@ -113,7 +114,7 @@
 }
 
 /// Limits on what a caller may send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Maximum size of a header section, in bytes.
     pub max_header_bytes: usize,
@@ -126,7 +127,7 @@
 }
 
 /// A complete version of the operator's configuration.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ConfigRecord {
     /// Version number; it only increases.
     pub version: u64,
--- a/crates/jackdawmux_policy/src/fleet/watch_cursor.rs
+++ b/crates/jackdawmux_policy/src/fleet/watch_cursor.rs
@@ -6,7 +6,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum SourceCall {
     /// Reads the full list of a topic.
-    List,
+    List {
+        /// Whether nothing has been read yet, so that an old list reverts nothing.
+        is_first: bool,
+    },
     /// Waits for updates after a position.
     Watch {
         /// Position in the source's history.
@@ -44,6 +47,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct WatchCursor {
     position: Option<SourcePosition>,
+    has_listed: bool,
     /// Highest era that any reply has reported.
     era: u64,
 }
@@ -53,7 +57,7 @@
     #[must_use]
     pub const fn next(&self) -> SourceCall {
         match self.position {
-            None => SourceCall::List,
+            None => SourceCall::List { is_first: !self.has_listed },
             Some(position) => SourceCall::Watch { position },
         }
     }
@@ -110,7 +114,8 @@
                 ReplyUse::Discard
             }
             SourceCall::Watch { .. } if is_empty => ReplyUse::Apply,
-            SourceCall::Watch { .. } | SourceCall::List => {
+            SourceCall::Watch { .. } | SourceCall::List { .. } => {
+                self.has_listed = true;
                 self.position = Some(position);
                 ReplyUse::Apply
             }
--- a/crates/jackdawmux_policy/tests/restore_model.rs
+++ b/crates/jackdawmux_policy/tests/restore_model.rs
@@ -173,7 +173,7 @@
         let position = SourcePosition { era: self.outline.era, revision: self.revision() };
         let latest = *self.outline.history.last().expect("the history is not empty");
         let (updates, is_gone) = match call {
-            SourceCall::List => (vec![(latest, self.revision())], false),
+            SourceCall::List { .. } => (vec![(latest, self.revision())], false),
             SourceCall::Watch { position: from } if from.revision > self.revision() => {
                 (Vec::new(), true)
             }
@@ -223,7 +223,7 @@
             self.outline.has_restore_floor.get_or_insert(position.revision);
         }
         let written_at = |revision| SourcePosition { era: position.era, revision };
-        if call == SourceCall::List {
+        if matches!(call, SourceCall::List { .. }) {
             let records = updates.iter().filter_map(|(registration, revision)| {
                 Some((record(*registration)?, written_at(*revision)))
             });
@@ -231,7 +231,7 @@
         }
         for (registration, revision) in updates {
             self.note(*registration, position.era);
-            if call == SourceCall::List {
+            if matches!(call, SourceCall::List { .. }) {
                 continue;
             }
             match record(*registration) {
--- a/crates/jackdawmux_policy/tests/update_model.rs
+++ b/crates/jackdawmux_policy/tests/update_model.rs
@@ -149,7 +149,7 @@
     fn reply_to(&self, topic: Topic, call: SourceCall) -> Reply {
         let position = self.revision;
         match call {
-            SourceCall::List => {
+            SourceCall::List { .. } => {
                 let listed =
                     self.latest(topic, position).filter(|update| *update != Update::Removed);
                 Reply::Updates { position, updates: listed.into_iter().collect() }
@@ -205,7 +205,9 @@
                 };
                 assert_eq!(cursor.record(call, outcome), ReplyUse::Apply);
                 apply_reply(front, topic, call, &updates);
-                if topic == Topic::Endpoints && (call == SourceCall::List || !is_empty) {
+                if topic == Topic::Endpoints
+                    && (matches!(call, SourceCall::List { .. }) || !is_empty)
+                {
                     front.applied_position = position;
                 }
             }
@@ -288,7 +290,7 @@
         Topic::Endpoints => {
             let mut steering = steering_with_version(Some(1));
             apply_update(&mut steering, now, front.endpoint);
-            if call == SourceCall::List {
+            if matches!(call, SourceCall::List { .. }) {
                 let records = listed(updates.iter().filter_map(|update| record(*update)));
                 steering.replace_endpoints(now, records);
             } else {
