relays: connected instances first; lists after an outage wait for the relay

Cause: heartbeats say which instances the source does not answer, yet such an instance stayed the relay of its group until a read failed, again every 3 s; and after an outage every reader listed by itself, because the relay had not yet read the source.

--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -86,7 +86,11 @@
             return;
         }
         if is_full_list {
-            log::info!("event=list-read topic={topic} at={position} count={}", batch.updates.len());
+            log::info!(
+                "event=list-read topic={topic} at={position} count={} is_relayed={}",
+                batch.updates.len(),
+                batch.is_relayed
+            );
             self.apply_list(topic, batch);
         } else {
             for update in batch.updates {
@@ -113,7 +117,13 @@
     async fn handle(&mut self, message: HeartbeatReceived, _context: &mut Context<Self, ()>) {
         let HeartbeatReceived(heartbeat) = message;
         let now = self.state.clock.now();
-        self.state.directory().record_heartbeat(now, &heartbeat.instance, heartbeat.is_serving);
+        let is_connected = heartbeat.source_connected_ms > 0;
+        self.state.directory().record_heartbeat(
+            now,
+            &heartbeat.instance,
+            heartbeat.is_serving,
+            is_connected,
+        );
         let connected = Duration::from_millis(heartbeat.source_connected_ms);
         let mut steering = self.state.steering();
         steering.record_peer_source_connection(now, connected);
--- a/crates/jackdawmux_front/src/relay/source.rs
+++ b/crates/jackdawmux_front/src/relay/source.rs
@@ -21,6 +21,8 @@
 const MAX_DECISION_TIME: Duration = Duration::from_secs(3);
 /// Time between looks whether it has.
 const DECISION_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between reads of a relay that does not read the source yet.
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest wait of a watch at the source while the group has a relay that did not reply, after which
 /// the relay is tried again.
 const FALLBACK_WAIT: Duration = Duration::from_secs(2);
@@ -45,6 +47,8 @@
     /// There are no updates after the reader's position.
     Unchanged,
     HistoryGone,
+    /// The instance does not read the source itself, or the source does not answer it.
+    NotRelay,
 }
 
 impl RelayedSource {
@@ -83,12 +87,18 @@
         freshness: ListFreshness,
     ) -> Result<UpdateBatch, SourceError> {
         let is_bypassed = self.state.bypasses_relay[topic as usize].swap(false, Ordering::Relaxed);
-        if !is_bypassed && let ReadPath::Relay(relay) = self.state.read_path() {
+        let times = RelayTimes::new(self.state.settings.bounds.update_deadline);
+        let deadline = Instant::now() + times.wait;
+        while !is_bypassed && let ReadPath::Relay(relay) = self.state.read_path() {
             match self.read(&relay, topic, None, Duration::ZERO).await {
                 Ok(RelayReply::Updates(batch)) if self.is_current(topic, &batch) => {
                     return Ok(self.accept(topic, batch));
                 }
-                Ok(_) => {}
+                // After an outage the relay reads the source at about the same time.
+                Ok(RelayReply::NotRelay) if Instant::now() < deadline => {
+                    sleep(RETRY_INTERVAL).await;
+                }
+                Ok(_) => break,
                 Err(error) => self.suspect(&relay, &error),
             }
         }
@@ -124,6 +134,10 @@
                     return Ok(UpdateBatch::unchanged(position));
                 }
                 Ok(RelayReply::Unchanged) => {}
+                Ok(RelayReply::NotRelay) => {
+                    self.suspect(&relay, &relay_error("relay-watch", &relay.name, &"not a relay"));
+                    is_fallback = true;
+                }
                 Err(error) => {
                     self.suspect(&relay, &error);
                     is_fallback = true;
@@ -192,6 +206,7 @@
             }
             StatusCode::NO_CONTENT => Ok(RelayReply::Unchanged),
             StatusCode::GONE => Ok(RelayReply::HistoryGone),
+            StatusCode::CONFLICT => Ok(RelayReply::NotRelay),
             status => Err(failed(&format_args!("status {}", status.as_u16()))),
         }
     }
--- a/crates/jackdawmux_policy/src/fleet/directory.rs
+++ b/crates/jackdawmux_policy/src/fleet/directory.rs
@@ -48,6 +48,8 @@
     /// Whether any heartbeat so far said that it serves. An instance that no longer does is
     /// leaving; one that never did is starting.
     has_served: bool,
+    /// Whether the source of updates answers it.
+    is_connected: bool,
 }
 
 /// The instances as seen by this instance.
@@ -103,10 +105,17 @@
         self.heartbeats.retain(|name, _| self.registered.contains_key(name));
     }
 
-    /// Records a heartbeat of an instance and whether that instance serves callers.
-    pub fn record_heartbeat(&mut self, now: PolicyTime, name: &str, is_serving: bool) {
+    /// Records a heartbeat of an instance, whether that instance serves callers and whether the source
+    /// of updates answers it.
+    pub fn record_heartbeat(
+        &mut self,
+        now: PolicyTime,
+        name: &str,
+        is_serving: bool,
+        is_connected: bool,
+    ) {
         let has_served = is_serving;
-        let state = HeartbeatState { at: now, is_serving, has_served };
+        let state = HeartbeatState { at: now, is_serving, has_served, is_connected };
         match self.heartbeats.get_mut(name) {
             Some(heartbeat) => {
                 *heartbeat =
@@ -206,7 +215,14 @@
         if is_starting && !group.iter().all(|record| is_heard(record)) {
             return ReadPath::Undecided;
         }
-        read_path(&self.own, &group, is_live)
+        let is_connected = |record: &InstanceRecord| {
+            self.heartbeats.get(&record.name).is_some_and(|heartbeat| heartbeat.is_connected)
+        };
+        // During an outage of the source nobody is connected, and the relay stays the same.
+        let is_outage = !group.iter().any(|record| is_live(record) && is_connected(record));
+        read_path(&self.own, &group, |record| {
+            is_live(record) && (is_outage || is_connected(record))
+        })
     }
 
     /// Returns the instances with which this one shares a relay, including itself; empty until it
--- a/crates/jackdawmux_policy/tests/fleet_rules.rs
+++ b/crates/jackdawmux_policy/tests/fleet_rules.rs
@@ -397,12 +397,12 @@
 fn unresponsive_leaving_and_withdrawn_instances_are_not_returned() {
     let mut directory = directory();
     assert_eq!(live_names(&directory, at(100)), ["one"], "only itself before any heartbeat");
-    directory.record_heartbeat(at(100), "two", true);
-    directory.record_heartbeat(at(100), "far", true);
+    directory.record_heartbeat(at(100), "two", true, true);
+    directory.record_heartbeat(at(100), "far", true, true);
     assert_eq!(live_names(&directory, at(200)), ["far", "one", "two"]);
-    directory.record_heartbeat(at(300), "two", false);
+    directory.record_heartbeat(at(300), "two", false, true);
     assert_eq!(live_names(&directory, at(310)), ["far", "one"], "`two` is leaving");
-    directory.record_heartbeat(at(1_000), "two", true);
+    directory.record_heartbeat(at(1_000), "two", true, true);
     // The deployment allows the stability window plus three seconds; heartbeats take far less.
     assert_eq!(live_names(&directory, at(2_400)), ["one", "two"], "`far` is unresponsive");
     directory.withdraw("two");
@@ -422,12 +422,12 @@
     assert!(directory.abandoned(at(0)).is_empty(), "the registrations have only just been seen");
     assert!(directory.abandoned(at(599_000)).is_empty(), "ten minutes have not passed");
     assert_eq!(directory.abandoned(at(601_000)), ["two"], "not the instance of another region");
-    directory.record_heartbeat(at(601_500), "two", true);
+    directory.record_heartbeat(at(601_500), "two", true, true);
     assert!(directory.abandoned(at(602_000)).is_empty(), "`two` is live");
     directory.register(instance("three", "a", 200));
-    directory.record_heartbeat(at(1_205_000), "two", true);
+    directory.record_heartbeat(at(1_205_000), "two", true, true);
     assert!(directory.abandoned(at(1_205_500)).is_empty(), "`three` was first seen just now");
-    directory.record_heartbeat(at(1_900_000), "two", true);
+    directory.record_heartbeat(at(1_900_000), "two", true, true);
     assert!(directory.abandoned(at(1_900_100)).is_empty(), "`two` must remove `three`");
     directory.withdraw("two");
     assert_eq!(directory.abandoned(at(1_900_200)), ["three"]);
@@ -436,8 +436,8 @@
 #[test]
 fn lookups_return_instances_of_the_region_by_capacity() {
     let mut directory = directory();
-    directory.record_heartbeat(at(100), "two", true);
-    directory.record_heartbeat(at(100), "far", true);
+    directory.record_heartbeat(at(100), "two", true, true);
+    directory.record_heartbeat(at(100), "far", true, true);
     let live = directory.live(at(200));
     let (mut strong, mut weak) = (0.0, 0.0);
     for step in 0..1_000 {
--- a/crates/jackdawmux_policy/tests/heartbeat_fan_out.rs
+++ b/crates/jackdawmux_policy/tests/heartbeat_fan_out.rs
@@ -71,7 +71,7 @@
         let is_received =
             self::directory(sender, count).peers().iter().any(|peer| peer.name == record(0).name);
         if is_received {
-            directory.record_heartbeat(now, &record(sender).name, true);
+            directory.record_heartbeat(now, &record(sender).name, true, true);
         }
     }
     let live = directory.live(now);
--- a/crates/jackdawmux_policy/tests/relays.rs
+++ b/crates/jackdawmux_policy/tests/relays.rs
@@ -40,7 +40,7 @@
     directory.replace((0..count).map(record).collect(), false);
     directory.set_serving(true);
     for other in (0..count).filter(|other| *other != own && is_heard(*other)) {
-        directory.record_heartbeat(at(1_000), &record(other).name, true);
+        directory.record_heartbeat(at(1_000), &record(other).name, true, true);
     }
     directory
 }
@@ -99,12 +99,24 @@
     let mut suspicions = RelaySuspicions::default();
     suspicions.record(at(1_100), &relay.name);
     assert_ne!(directory.read_path(at(1_200), &suspicions, false), ReadPath::Relay(relay.clone()));
-    directory.record_heartbeat(at(4_100), &relay.name, true);
+    directory.record_heartbeat(at(4_100), &relay.name, true, true);
     assert_eq!(directory.read_path(at(4_200), &suspicions, false), ReadPath::Relay(relay.clone()));
-    directory.record_heartbeat(at(4_300), &relay.name, false);
+    directory.record_heartbeat(at(4_300), &relay.name, false, true);
     assert_ne!(directory.read_path(at(4_400), &suspicions, false), ReadPath::Relay(relay));
 }
 
+#[test]
+fn a_relay_that_the_source_does_not_answer_is_not_read_unless_it_answers_nobody() {
+    let mut directory = directory(3, 30, |_| true);
+    let ReadPath::Relay(relay) = path(&directory) else { panic!("no relay") };
+    directory.record_heartbeat(at(1_050), &relay.name, true, false);
+    assert_ne!(path(&directory), ReadPath::Relay(relay.clone()));
+    for other in (0..30).filter(|other| *other != 3) {
+        directory.record_heartbeat(at(1_060), &record(other).name, true, false);
+    }
+    assert_eq!(path(&directory), ReadPath::Relay(relay));
+}
+
 #[test]
 fn an_instance_that_starts_waits_until_it_has_heard_its_group() {
     let none = RelaySuspicions::default();
