front, runtime: pipelined repeatable requests run concurrently and are answered in order

The library is given the next request only after the response in front, so that it keeps reading. Requests that must not be repeated wait for their turn; a response in front of one that is under way does not close the connection; the caller's leaving cancels all. Found by the load test of 10,000 requests in one write: the header timeout ran on over complete headers while the library was not reading, and cut the connection after 3 s. It now starts with each header, and bytes that have arrived are processed first.

--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -24,7 +24,7 @@
 use super::watcher::TopicWatcher;
 use crate::dialect::WireDialect;
 use crate::relay::{RelayedSource, relay_router};
-use crate::request::front_router;
+use crate::request::{front_router, read_ahead_filter};
 use crate::source::{FleetSource, WatchTopic};
 use jackdawmux_policy::fleet::record::InstanceRecord;
 use jackdawmux_policy::fleet::relay::RelayTimes;
@@ -111,8 +111,16 @@
         let relay = listen("relay-listen", settings.heartbeat_listen, router, &limits).await?;
         // Heartbeats and reads from the relay use the same port, which the registration names.
         let socket = Arc::new(bind_datagrams(relay.address).await?);
-        let callers = listen("listen", settings.listen, front_router(Arc::clone(&state)), &limits);
-        let callers = callers.await?;
+        let router = front_router(Arc::clone(&state));
+        let filter = read_ahead_filter(Arc::clone(&state));
+        let (listener, address) = bind("listen", settings.listen).await?;
+        let callers = CallerListener::spawn_reading_ahead(
+            listener,
+            address,
+            router,
+            limits.clone(),
+            Some(filter),
+        );
         log::info!(
             "event=started instance={} failure_domain={} incarnation={:016x} address={}",
             settings.instance,
@@ -248,10 +256,19 @@
     router: axum::Router,
     limits: &watch::Receiver<ListenerLimits>,
 ) -> Result<CallerListener, FrontError> {
+    let (listener, bound) = bind(step, address).await?;
+    Ok(CallerListener::spawn(listener, bound, router, limits.clone()))
+}
+
+/// Binds a listener and returns the address that it got.
+async fn bind(
+    step: &'static str,
+    address: SocketAddr,
+) -> Result<(TcpListener, SocketAddr), FrontError> {
     let context = || BindSnafu { step, address: address.to_string() };
     let listener = TcpListener::bind(address).await.with_context(|_| context())?;
     let bound = listener.local_addr().with_context(|_| context())?;
-    Ok(CallerListener::spawn(listener, bound, router, limits.clone()))
+    Ok((listener, bound))
 }
 
 async fn bind_datagrams(address: SocketAddr) -> Result<UdpSocket, FrontError> {
--- a/crates/jackdawmux_front/src/request/mod.rs
+++ b/crates/jackdawmux_front/src/request/mod.rs
@@ -8,4 +8,4 @@
 mod refusal;
 mod serve;
 
-pub(crate) use serve::front_router;
+pub(crate) use serve::{front_router, read_ahead_filter};
--- a/crates/jackdawmux_front/src/request/serve.rs
+++ b/crates/jackdawmux_front/src/request/serve.rs
@@ -6,8 +6,10 @@
 use axum::Router;
 use axum::body::Body;
 use axum::extract::State;
-use axum::http::header::CONNECTION;
+use axum::http::header::{CONNECTION, HOST};
 use axum::http::{HeaderName, HeaderValue, Request, Response};
+use jackdawmux_policy::fleet::record::RepeatRule;
+use jackdawmux_runtime::ReadAheadFilter;
 use tokio::time::timeout_at;
 
 use super::access_log::AccessLogEntry;
@@ -34,6 +36,18 @@
     Router::new().fallback(serve_request).with_state(state)
 }
 
+/// Requests that may be started before the ones in front of them on their connection have been
+/// answered: repeatable ones, while this instance takes new requests.
+pub(crate) fn read_ahead_filter(state: Arc<FrontState>) -> ReadAheadFilter {
+    Arc::new(move |parts| {
+        let table = state.steering().table().cloned();
+        let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+        let route = table.as_ref().and_then(|table| table.find(host, parts.uri.path()));
+        state.phase() == FrontPhase::Serving
+            && route.is_some_and(|route| route.repeat == RepeatRule::Idempotent)
+    })
+}
+
 async fn serve_request(
     State(state): State<Arc<FrontState>>,
     request: Request<Body>,
--- a/crates/jackdawmux_runtime/src/head_guard.rs
+++ b/crates/jackdawmux_runtime/src/head_guard.rs
@@ -5,9 +5,11 @@
 //! another party could frame differently would go undetected. The guard tracks the message framing
 //! and passes a header section to the library only once it is complete and unambiguous.
 
+use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::sync::Arc;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -47,8 +49,20 @@
     Malformed,
 }
 
+/// Follows the requests of a connection.
+pub trait HeadObserver: Send + Sync {
+    /// Receives each complete header section that is accepted, in their order.
+    fn receive(&self, head: &[u8]);
+
+    /// Number of requests whose responses are complete. The library is given the next request only
+    /// then, so that it keeps asking for bytes and further requests are received early.
+    fn finished(&self) -> u64;
+
+    /// Registers the task to wake when the number rises.
+    fn register(&self, waker: &Waker);
+}
+
 /// Tracks the framing of the requests on one connection.
-#[derive(Debug)]
 pub struct FramingTracker {
     state: FramingState,
     /// Bytes of a header section that is still incomplete.
@@ -56,6 +70,17 @@
     /// Bytes of the current line of chunked framing.
     line: Vec<u8>,
     head_limit: usize,
+    /// Number of complete header sections.
+    heads: u64,
+    /// Positions in the accepted bytes at which the latest header sections start.
+    starts: Vec<usize>,
+    observer: Option<Arc<dyn HeadObserver>>,
+}
+
+impl std::fmt::Debug for FramingTracker {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("FramingTracker").field("state", &self.state).finish_non_exhaustive()
+    }
 }
 
 impl FramingTracker {
@@ -63,7 +88,15 @@
     /// accepted without checks; the library rejects it.
     #[must_use]
     pub const fn new(head_limit: usize) -> Self {
-        Self { state: FramingState::Head, head: Vec::new(), line: Vec::new(), head_limit }
+        Self {
+            state: FramingState::Head,
+            head: Vec::new(),
+            line: Vec::new(),
+            head_limit,
+            heads: 0,
+            starts: Vec::new(),
+            observer: None,
+        }
     }
 
     /// Whether a header section is partly received.
@@ -138,6 +171,13 @@
         };
         self.state = check_head(&self.head[..end])?;
         accepted.extend_from_slice(&self.head[..end]);
+        self.heads += 1;
+        if let Some(observer) = &self.observer {
+            self.starts.push(accepted.len() - end);
+            if self.state != FramingState::Malformed {
+                observer.receive(&self.head[..end]);
+            }
+        }
         self.head.clear();
         Ok(&bytes[end - previous_len..])
     }
@@ -238,6 +278,8 @@
     tracker: FramingTracker,
     accepted: Vec<u8>,
     consumed: usize,
+    /// Positions in `accepted` at which requests start, with the number of requests before each.
+    starts: VecDeque<(usize, u64)>,
     is_finished: bool,
     header_timeout: Duration,
     header_deadline: Option<Pin<Box<Sleep>>>,
@@ -252,14 +294,34 @@
             tracker: FramingTracker::new(head_limit),
             accepted: Vec::new(),
             consumed: 0,
+            starts: VecDeque::new(),
             is_finished: false,
             header_timeout,
             header_deadline: None,
         }
     }
 
-    fn copy_accepted(&mut self, buffer: &mut ReadBuf<'_>) {
-        let ready = &self.accepted[self.consumed..];
+    /// Sets the observer of the connection's requests.
+    #[must_use]
+    pub fn with_observer(mut self, observer: Arc<dyn HeadObserver>) -> Self {
+        self.tracker.observer = Some(observer);
+        self
+    }
+
+    /// Returns the end of the bytes that the library may read now.
+    fn readable_end(&mut self) -> usize {
+        let Some(observer) = &self.tracker.observer else {
+            return self.accepted.len();
+        };
+        let finished = observer.finished();
+        while self.starts.front().is_some_and(|(_, index)| *index <= finished) {
+            self.starts.pop_front();
+        }
+        self.starts.front().map_or(self.accepted.len(), |(start, _)| *start)
+    }
+
+    fn copy_accepted(&mut self, end: usize, buffer: &mut ReadBuf<'_>) {
+        let ready = &self.accepted[self.consumed..end];
         let count = ready.len().min(buffer.remaining());
         buffer.put_slice(&ready[..count]);
         self.consumed += count;
@@ -272,15 +334,33 @@
         }
     }
 
+    /// Drops the bytes that the library has read.
+    fn drop_consumed(&mut self) {
+        self.accepted.drain(..self.consumed);
+        for (start, _) in &mut self.starts {
+            *start -= self.consumed;
+        }
+        self.consumed = 0;
+    }
+
     fn process_read(&mut self, bytes: &[u8]) {
+        self.drop_consumed();
+        let heads = self.tracker.heads;
         if bytes.is_empty() {
-            self.accepted = self.tracker.take_unfinished();
+            let unfinished = self.tracker.take_unfinished();
+            self.accepted.extend_from_slice(&unfinished);
             self.is_finished = true;
         } else if let Err(error) = self.tracker.feed(bytes, &mut self.accepted) {
             log::info!("event=request-rejected outcome=not-run reason={error:?}");
             self.accepted.extend_from_slice(REJECTED_HEAD);
             self.is_finished = true;
         }
+        if self.tracker.heads > heads {
+            // The time of a header section that is still incomplete starts now.
+            self.header_deadline = None;
+        }
+        let starts = self.tracker.starts.drain(..);
+        self.starts.extend(starts.zip(heads..));
     }
 
     /// Fails when a header section has been incomplete for longer than the header timeout.
@@ -308,19 +388,37 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            if !self.accepted.is_empty() {
-                self.copy_accepted(buffer);
+            let end = self.readable_end();
+            if end > self.consumed {
+                self.copy_accepted(end, buffer);
                 return Poll::Ready(Ok(()));
             }
             if self.is_finished {
                 return Poll::Ready(Ok(()));
             }
-            self.poll_header_deadline(context)?;
+            if let Some(observer) =
+                self.tracker.observer.as_ref().filter(|_| !self.starts.is_empty())
+            {
+                observer.register(context.waker());
+                if self.accepted.len() - self.consumed >= READ_BUFFER_BYTES {
+                    return Poll::Pending;
+                }
+            }
             let mut scratch = [0; READ_BUFFER_BYTES];
             let mut read = ReadBuf::new(&mut scratch);
-            ready!(Pin::new(&mut self.inner).poll_read(context, &mut read))?;
-            let bytes = read.filled();
-            self.process_read(bytes);
+            // Bytes that have arrived are processed before the deadline is checked: they may have
+            // waited because the library did not read while it served earlier requests.
+            match Pin::new(&mut self.inner).poll_read(context, &mut read) {
+                Poll::Ready(result) => {
+                    result?;
+                    self.process_read(read.filled());
+                    self.poll_header_deadline(context)?;
+                }
+                Poll::Pending => {
+                    self.poll_header_deadline(context)?;
+                    return Poll::Pending;
+                }
+            }
         }
     }
 }
--- a/crates/jackdawmux_runtime/src/listener.rs
+++ b/crates/jackdawmux_runtime/src/listener.rs
@@ -17,7 +17,8 @@
 use tokio::time::timeout;
 use tower::ServiceExt;
 
-use crate::head_guard::GuardedStream;
+use crate::head_guard::{GuardedStream, HeadObserver};
+use crate::read_ahead::{ReadAhead, ReadAheadFilter};
 use crate::sockets::configure_caller_stream;
 
 /// Maximum number of header fields of a request. RFC 9110 sets no bound; common clients send fewer
@@ -72,9 +73,23 @@
         address: SocketAddr,
         router: Router,
         limits: watch::Receiver<ListenerLimits>,
+    ) -> Self {
+        Self::spawn_reading_ahead(listener, address, router, limits, None)
+    }
+
+    /// Starts a task that serves callers on a bound listener, and starts requests early for which
+    /// the filter holds.
+    #[must_use]
+    pub fn spawn_reading_ahead(
+        listener: TcpListener,
+        address: SocketAddr,
+        router: Router,
+        limits: watch::Receiver<ListenerLimits>,
+        filter: Option<ReadAheadFilter>,
     ) -> Self {
         let (stop, stopped) = oneshot::channel();
-        let task = tokio::spawn(accept_connections(listener, router, limits, stopped));
+        let service = CallerService { router, filter };
+        let task = tokio::spawn(accept_connections(listener, service, limits, stopped));
         Self { address, stop: Some(stop), task }
     }
 
@@ -96,9 +111,15 @@
     }
 }
 
+/// What serves the requests of each connection.
+struct CallerService {
+    router: Router,
+    filter: Option<ReadAheadFilter>,
+}
+
 async fn accept_connections(
     listener: TcpListener,
-    router: Router,
+    service: CallerService,
     limits: watch::Receiver<ListenerLimits>,
     mut stopped: oneshot::Receiver<Duration>,
 ) {
@@ -109,7 +130,7 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, peer)) => {
                     let limits = *limits.borrow();
-                    serve_connection(stream, peer, &router, limits, &permits, &graceful);
+                    serve_connection(stream, peer, &service, limits, &permits, &graceful);
                 }
                 Err(error) => {
                     log::warn!("event=accept-failed error={error}");
@@ -128,7 +149,7 @@
 fn serve_connection(
     stream: TcpStream,
     peer: SocketAddr,
-    router: &Router,
+    service: &CallerService,
     limits: ListenerLimits,
     permits: &Arc<Semaphore>,
     graceful: &GracefulShutdown,
@@ -141,11 +162,24 @@
         log::debug!("event=caller-lost peer={peer} error={error}");
         return;
     }
-    let guarded = GuardedStream::new(stream, limits.max_header_bytes, limits.header_timeout);
-    let router = router.clone();
+    let mut guarded = GuardedStream::new(stream, limits.max_header_bytes, limits.header_timeout);
+    let router = service.router.clone();
+    let read_ahead = service
+        .filter
+        .as_ref()
+        .map(|filter| Arc::new(ReadAhead::new(router.clone(), Arc::clone(filter), peer)));
+    if let Some(read_ahead) = &read_ahead {
+        guarded = guarded.with_observer(Arc::clone(read_ahead) as Arc<dyn HeadObserver>);
+    }
     let service = hyper::service::service_fn(move |mut request: hyper::Request<Incoming>| {
         request.extensions_mut().insert(ConnectInfo(peer));
-        router.clone().oneshot(request)
+        let (router, read_ahead) = (router.clone(), read_ahead.clone());
+        async move {
+            match read_ahead {
+                Some(read_ahead) => read_ahead.serve(request).await,
+                None => router.oneshot(request).await,
+            }
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
