peer: ends of different deployments or groups refuse each other

Change: both ends state their scope (store and group) with its code; another scope is refused with a logged reason. An end of an earlier release states none and is accepted, so that releases can be mixed. Test: peers_of_another_deployment_or_group_do_not_connect, red without the comparison.

--- a/crates/jackdawmux_entry/src/process/launch.rs
+++ b/crates/jackdawmux_entry/src/process/launch.rs
@@ -169,8 +169,10 @@
             ],
         );
         let keys = PeerKeys::new(&settings.peer_keys);
+        // Two deployments on one network may use the same key and group name, but not one store.
+        let scope = format!("{} {}", settings.store, settings.group);
         let (peer_events, peer_event_receiver) = mpsc::channel(MAX_QUEUED_PEER_EVENTS);
-        let hub = PeerHub::spawn(peer_listener, identity.clone(), keys.clone(), peer_events)
+        let hub = PeerHub::spawn(peer_listener, identity.clone(), keys.clone(), scope, peer_events)
             .context(PeerSnafu)?;
         hub.dial_seeds(&settings.seeds);
         let pool = UpstreamPool::default();
--- a/crates/jackdawmux_peer/src/handshake.rs
+++ b/crates/jackdawmux_peer/src/handshake.rs
@@ -3,6 +3,9 @@
 //! The accepting end sends a nonce. The dialling end replies with its identity, its own nonce and
 //! an authentication code over both nonces and the identity. The accepting end then sends its own
 //! code over both nonces.
+//!
+//! Both ends also state their scope, the deployment and group that they belong to. Ends of different
+//! scopes refuse each other even if they hold the same key; an end of an earlier release states none.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -98,17 +101,55 @@
     identity: PeerIdentity,
     nonce: u64,
     code: Vec<u8>,
+    #[serde(default)]
+    scope: Option<ScopeProof>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
 struct AcceptProof {
     code: Vec<u8>,
+    #[serde(default)]
+    scope: Option<ScopeProof>,
+}
+
+/// Scope of one end, with its code over the scope and both nonces.
+#[derive(Debug, Serialize, Deserialize)]
+struct ScopeProof {
+    scope: String,
+    code: Vec<u8>,
+}
+
+impl ScopeProof {
+    fn new(keys: &PeerKeys, scope: &str, nonces: &[[u8; 8]; 2]) -> Self {
+        let code = keys.sign(&[b"scope", &nonces[0], &nonces[1], scope.as_bytes()]).to_vec();
+        Self { scope: scope.to_owned(), code }
+    }
+
+    /// Checks the scope of the other end against the own one.
+    fn check(
+        &self,
+        keys: &PeerKeys,
+        own: &str,
+        nonces: &[[u8; 8]; 2],
+        peer: &str,
+    ) -> Result<(), PeerError> {
+        let parts: [&[u8]; 4] = [b"scope", &nonces[0], &nonces[1], self.scope.as_bytes()];
+        ensure!(
+            keys.verify(&parts, &self.code),
+            RefusedSnafu { peer, reason: "the scope of the other end is not authentic" }
+        );
+        ensure!(
+            self.scope == own,
+            RefusedSnafu { peer, reason: "the other end belongs to another deployment or group" }
+        );
+        Ok(())
+    }
 }
 
 /// Accepting end of the handshake; returns the identity of the dialling end.
 pub(crate) async fn accept_handshake(
     channel: &mut WebSocketStream<TcpStream>,
-    keys: &PeerKeys,
+    (keys, scope): (&PeerKeys, &str),
     peer: &str,
 ) -> Result<PeerIdentity, PeerError> {
     let challenge = Challenge { protocol: PROTOCOL_VERSION, nonce: rand::random() };
@@ -122,14 +163,19 @@
         RefusedSnafu { peer, reason: "the dialling end holds no accepted key" }
     );
     let code = keys.sign(&[b"accept", &nonces[0], &nonces[1]]).to_vec();
-    send(channel, &AcceptProof { code }, peer).await?;
+    // Sent before the scope of the other end is checked, so that both ends log the reason.
+    let own_scope = Some(ScopeProof::new(keys, scope, &nonces));
+    send(channel, &AcceptProof { code, scope: own_scope }, peer).await?;
+    if let Some(other) = &proof.scope {
+        other.check(keys, scope, &nonces, peer)?;
+    }
     Ok(proof.identity)
 }
 
 /// Dialling end of the handshake.
 pub(crate) async fn dial_handshake(
     channel: &mut WebSocketStream<TcpStream>,
-    keys: &PeerKeys,
+    (keys, scope): (&PeerKeys, &str),
     identity: &PeerIdentity,
     peer: &str,
 ) -> Result<(), PeerError> {
@@ -142,13 +188,18 @@
     let nonces = [challenge.nonce.to_be_bytes(), nonce.to_be_bytes()];
     let encoded = encode(identity)?;
     let code = keys.sign(&[b"dial", &nonces[0], &nonces[1], &encoded]).to_vec();
-    send(channel, &DialProof { identity: identity.clone(), nonce, code }, peer).await?;
+    let own_scope = Some(ScopeProof::new(keys, scope, &nonces));
+    let proof = DialProof { identity: identity.clone(), nonce, code, scope: own_scope };
+    send(channel, &proof, peer).await?;
     let proof: AcceptProof = receive(channel, peer).await?;
     let parts: [&[u8]; 3] = [b"accept", &nonces[0], &nonces[1]];
     ensure!(
         keys.verify(&parts, &proof.code),
         RefusedSnafu { peer, reason: "the accepting end holds no accepted key" }
     );
+    if let Some(other) = &proof.scope {
+        other.check(keys, scope, &nonces, peer)?;
+    }
     Ok(())
 }
 
--- a/crates/jackdawmux_peer/src/hub.rs
+++ b/crates/jackdawmux_peer/src/hub.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
-use tokio_tungstenite::accept_async_with_config;
+use tokio_tungstenite::{WebSocketStream, accept_async_with_config};
 
 use crate::codec::decode_frame;
 use crate::error::{ChannelSnafu, PeerError, SocketSnafu, TimeoutSnafu};
@@ -50,7 +50,8 @@
 }
 
 impl PeerHub {
-    /// Starts to accept peers on a bound listener. Events are sent to `events`, whose capacity
+    /// Starts to accept peers on a bound listener. `scope` names the deployment and group; peers of
+    /// another scope are refused even if they hold the same key. Events are sent to `events`, whose capacity
     /// applies backpressure to peers that send faster than this instance processes.
     ///
     /// # Errors
@@ -59,10 +60,11 @@
         listener: TcpListener,
         identity: PeerIdentity,
         keys: PeerKeys,
+        scope: String,
         events: mpsc::Sender<PeerEvent>,
     ) -> Result<Self, PeerError> {
         let address = listener.local_addr().context(SocketSnafu { step: "bind", peer: "self" })?;
-        let context = Arc::new(LinkContext { identity, keys });
+        let context = Arc::new(LinkContext { identity, keys, scope });
         let task = tokio::spawn(accept_all(listener, Arc::clone(&context), events));
         Ok(Self { address, context, links: Mutex::default(), seeds: Mutex::default(), task })
     }
@@ -157,7 +159,8 @@
         let mut channel = accept_async_with_config(stream, Some(channel_config()))
             .await
             .context(ChannelSnafu { step: "upgrade", peer: &name })?;
-        let identity = accept_handshake(&mut channel, &context.keys, &name).await?;
+        let identity =
+            accept_handshake(&mut channel, (&context.keys, &context.scope), &name).await?;
         Ok::<_, PeerError>((channel, identity))
     };
     let Ok(accepted) = timeout(HANDSHAKE_TIMEOUT, handshake).await else {
@@ -168,8 +171,20 @@
     if events.send(PeerEvent::Connected(identity)).await.is_err() {
         return Ok(());
     }
+    let received = receive_frames(&mut channel, incarnation, &name, events).await;
+    let _closed = events.send(PeerEvent::Closed(incarnation)).await;
+    received
+}
+
+/// Passes on the frames of a peer until the link ends.
+async fn receive_frames(
+    channel: &mut WebSocketStream<TcpStream>,
+    incarnation: IncarnationId,
+    name: &str,
+    events: &mpsc::Sender<PeerEvent>,
+) -> Result<(), PeerError> {
     while let Some(message) = channel.next().await {
-        let message = message.context(ChannelSnafu { step: "receive", peer: &name })?;
+        let message = message.context(ChannelSnafu { step: "receive", peer: name })?;
         if !message.is_binary() {
             continue;
         }
@@ -185,6 +200,5 @@
             return Ok(());
         }
     }
-    let _closed = events.send(PeerEvent::Closed(incarnation)).await;
     Ok(())
 }
--- a/crates/jackdawmux_peer/src/link.rs
+++ b/crates/jackdawmux_peer/src/link.rs
@@ -36,6 +36,8 @@
 pub(crate) struct LinkContext {
     pub(crate) identity: PeerIdentity,
     pub(crate) keys: PeerKeys,
+    /// Deployment and group.
+    pub(crate) scope: String,
 }
 
 /// A link to one peer; dropping it closes the link.
@@ -113,7 +115,8 @@
         let (mut channel, _) = client_async_with_config(url, stream, Some(channel_config()))
             .await
             .context(ChannelSnafu { step: "upgrade", peer: &peer })?;
-        dial_handshake(&mut channel, &context.keys, &context.identity, &peer).await?;
+        dial_handshake(&mut channel, (&context.keys, &context.scope), &context.identity, &peer)
+            .await?;
         Ok(channel)
     };
     match timeout(HANDSHAKE_TIMEOUT, connect).await {
--- a/crates/jackdawmux_peer/tests/frames.rs
+++ b/crates/jackdawmux_peer/tests/frames.rs
@@ -85,7 +85,7 @@
     PeerKeys::new(&keys.iter().map(|key| (*key).to_owned()).collect::<Vec<_>>())
 }
 
-async fn hub(id: u64, keys: PeerKeys) -> (PeerHub, mpsc::Receiver<PeerEvent>) {
+async fn hub(id: u64, keys: PeerKeys, scope: &str) -> (PeerHub, mpsc::Receiver<PeerEvent>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let identity = PeerIdentity {
@@ -96,7 +96,7 @@
         domain: "d".to_owned(),
     };
     let (events, incoming) = mpsc::channel(16);
-    (PeerHub::spawn(listener, identity, keys, events).unwrap(), incoming)
+    (PeerHub::spawn(listener, identity, keys, scope.to_owned(), events).unwrap(), incoming)
 }
 
 #[rstest]
@@ -109,11 +109,32 @@
     #[case] right: &[&str],
     #[case] is_connected: bool,
 ) {
-    let (dialling, _own) = hub(1, keys(left)).await;
-    let (accepting, mut incoming) = hub(2, keys(right)).await;
+    let (dialling, _own) = hub(1, keys(left), "store main").await;
+    let (accepting, mut incoming) = hub(2, keys(right), "store main").await;
     let target = PeerTarget { incarnation: IncarnationId(2), address: accepting.address() };
     dialling.set_peers(&[target]);
     let wait = if is_connected { Duration::from_secs(20) } else { Duration::from_millis(700) };
     let event = timeout(wait, incoming.recv()).await;
     assert_eq!(matches!(event, Ok(Some(PeerEvent::Connected(_)))), is_connected);
 }
+
+/// Guards against an entry that takes the view of another group: it binds the peer port of a killed
+/// entry of another deployment with the same key, whose peers dial it.
+#[rstest]
+#[case::other_group("store main", "store spare")]
+#[case::other_deployment("store main", "elsewhere main")]
+#[tokio::test]
+async fn peers_of_another_deployment_or_group_do_not_connect(
+    #[case] left: &str,
+    #[case] right: &str,
+) {
+    let (dialling, mut own) = hub(1, keys(&["one"]), left).await;
+    let (accepting, mut incoming) = hub(2, keys(&["one"]), right).await;
+    dialling
+        .set_peers(&[PeerTarget { incarnation: IncarnationId(2), address: accepting.address() }]);
+    accepting
+        .set_peers(&[PeerTarget { incarnation: IncarnationId(1), address: dialling.address() }]);
+    let wait = Duration::from_millis(700);
+    assert!(timeout(wait, incoming.recv()).await.is_err(), "the dialling end was accepted");
+    assert!(timeout(wait, own.recv()).await.is_err(), "the accepting end was accepted");
+}
