front: a caller's failed upload is not held against its endpoint

Change: the body records why it failed; the attempt counts as cancelled and the caller gets 413 or 400. Test: a_streamed_body_that_fails_is_not_held_against_the_endpoint, 502 before.

--- a/crates/jackdawmux_front/src/request/body.rs
+++ b/crates/jackdawmux_front/src/request/body.rs
@@ -1,6 +1,7 @@
 //! Bodies of requests and responses, buffered completely where they are small.
 
 use std::pin::Pin;
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -32,8 +33,17 @@
 pub(crate) enum RequestBody {
     /// Buffered completely.
     Buffered(Bytes),
-    /// Too large to be buffered; can be sent once. None after it was sent.
-    Streaming(Option<Body>),
+    /// Too large to be buffered; can be sent once.
+    Streaming(StreamingBody),
+}
+
+/// A body that is streamed to one endpoint.
+#[derive(Debug)]
+pub(crate) struct StreamingBody {
+    /// None after it was sent.
+    body: Option<Body>,
+    /// Set if the body could not be read to its end.
+    failure: Arc<OnceLock<BodyError>>,
 }
 
 impl RequestBody {
@@ -60,8 +70,15 @@
             }
             if buffered.len() > MAX_BUFFERED_BYTES {
                 let prefix = buffered.freeze();
-                let rest = BoundedBody { prefix: Some(prefix), incoming, remaining: limit };
-                return Ok(Self::Streaming(Some(Body::new(rest))));
+                let failure = Arc::default();
+                let rest = BoundedBody {
+                    prefix: Some(prefix),
+                    incoming,
+                    remaining: limit,
+                    failure: Arc::clone(&failure),
+                };
+                let body = Some(Body::new(rest));
+                return Ok(Self::Streaming(StreamingBody { body, failure }));
             }
         }
         Ok(Self::Buffered(buffered.freeze()))
@@ -71,7 +88,16 @@
     pub(crate) fn for_attempt(&mut self) -> Option<Body> {
         match self {
             Self::Buffered(bytes) => Some(Body::from(bytes.clone())),
-            Self::Streaming(body) => body.take(),
+            Self::Streaming(streaming) => streaming.body.take(),
+        }
+    }
+
+    /// Why a streaming body could not be read to its end. The endpoint that it was sent to is not
+    /// the cause of the lost response.
+    pub(crate) fn failure(&self) -> Option<BodyError> {
+        match self {
+            Self::Buffered(_) => None,
+            Self::Streaming(streaming) => streaming.failure.get().copied(),
         }
     }
 
@@ -87,7 +113,7 @@
     pub(crate) const fn is_sendable(&self) -> bool {
         match self {
             Self::Buffered(_) => true,
-            Self::Streaming(body) => body.is_some(),
+            Self::Streaming(streaming) => streaming.body.is_some(),
         }
     }
 }
@@ -97,6 +123,7 @@
     prefix: Option<Bytes>,
     incoming: Body,
     remaining: u64,
+    failure: Arc<OnceLock<BodyError>>,
 }
 
 impl HttpBody for BoundedBody {
@@ -111,11 +138,15 @@
             Some(prefix) => Poll::Ready(Some(Ok(Frame::data(prefix)))),
             None => Pin::new(&mut self.incoming).poll_frame(context),
         };
+        if let Poll::Ready(Some(Err(_))) = &polled {
+            let _first = self.failure.set(BodyError::Broken);
+        }
         if let Poll::Ready(Some(Ok(frame))) = &polled {
             let size = frame.data_ref().map_or(0, Bytes::len);
             match self.remaining.checked_sub(u64::try_from(size).unwrap_or(u64::MAX)) {
                 Some(remaining) => self.remaining = remaining,
                 None => {
+                    let _first = self.failure.set(BodyError::TooLarge);
                     let error = axum::Error::new("request body is larger than allowed");
                     return Poll::Ready(Some(Err(error)));
                 }
--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -18,7 +18,7 @@
 use smallvec::SmallVec;
 
 use super::access_log::AccessLogEntry;
-use super::body::{RequestBody, ResponseBody, StreamedResponse, buffer_response};
+use super::body::{BodyError, RequestBody, ResponseBody, StreamedResponse, buffer_response};
 use super::guard::AttemptGuard;
 use super::plan::RequestPlan;
 use super::refusal::FrontRefusal;
@@ -66,6 +66,8 @@
     NotRun,
     /// No valid response arrived; the request may have run.
     Lost,
+    /// The caller's body could not be read to its end.
+    BodyFailed(BodyError),
 }
 
 /// Forwards one request, with as many attempts as are allowed.
@@ -129,6 +131,7 @@
                     may_have_run = true;
                     self.record_lost(choice.key);
                 }
+                AttemptResult::BodyFailed(error) => return Err(error.into()),
                 AttemptResult::NotRun => refusal = self.shed_refusal(&choice),
                 AttemptResult::Unreachable => {
                     refusal = FrontRefusal::Unreachable;
@@ -242,6 +245,11 @@
             ExchangeOutcome::Lost { error } => {
                 log::debug!("event=upstream-lost peer={} error={error:?}", choice.address);
                 self.delivered += 1;
+                if let Some(failure) = self.body.failure() {
+                    self.log_entry.record_outcome("body-failed");
+                    guard.finish(AttemptOutcome::Cancelled);
+                    return AttemptResult::BodyFailed(failure);
+                }
                 if is_unresponsive_error(&error) {
                     self.log_entry.record_outcome("silent");
                     guard.finish(AttemptOutcome::Silent);
--- a/crates/jackdawmux_front/src/request/refusal.rs
+++ b/crates/jackdawmux_front/src/request/refusal.rs
@@ -9,6 +9,8 @@
 use serde_json::json;
 use strum::Display;
 
+use super::body::BodyError;
+
 /// Retry-after delay while no configuration is known.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry-after delay when no endpoint could be reached in time.
@@ -47,6 +49,15 @@
     UpstreamLost,
 }
 
+impl From<BodyError> for FrontRefusal {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLarge => Self::BodyTooLarge,
+            BodyError::Broken => Self::BodyBroken,
+        }
+    }
+}
+
 impl FrontRefusal {
     /// Status code sent to the caller. 503 is used only if the request certainly did not run.
     pub(crate) const fn status(self) -> StatusCode {
--- a/crates/jackdawmux_front/src/request/serve.rs
+++ b/crates/jackdawmux_front/src/request/serve.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout_at;
 
 use super::access_log::AccessLogEntry;
-use super::body::{BodyError, RequestBody};
+use super::body::RequestBody;
 use super::forward::{ForwardTask, SentFlag};
 use super::plan::RequestPlan;
 use super::refusal::FrontRefusal;
@@ -98,9 +98,6 @@
     sent: &SentFlag,
 ) -> Result<Response<Body>, FrontRefusal> {
     let limit = plan.table.limits().max_body_bytes;
-    let body = RequestBody::read(body, limit).await.map_err(|error| match error {
-        BodyError::TooLarge => FrontRefusal::BodyTooLarge,
-        BodyError::Broken => FrontRefusal::BodyBroken,
-    })?;
+    let body = RequestBody::read(body, limit).await?;
     ForwardTask::new(state, plan, body, log_entry, sent).run().await
 }
