relays: readers do not check the store themselves

Cause: a relay's empty replies did not count as replies of the source, so each of 109 readers checked the store every 1.5 s.

--- a/crates/jackdawmux_front/src/process/connectivity.rs
+++ b/crates/jackdawmux_front/src/process/connectivity.rs
@@ -84,6 +84,12 @@
         }
     }
 
+    /// Records that a relay, which the source has just answered, replied. This instance then need not
+    /// check the source itself.
+    pub(crate) fn record_relay_reply(&self) {
+        *self.replied_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+    }
+
     /// Records a failed call and interrupts the calls that wait. Returns whether it started an
     /// outage.
     pub(crate) fn record_failure(&self) -> bool {
--- a/crates/jackdawmux_front/src/relay/source.rs
+++ b/crates/jackdawmux_front/src/relay/source.rs
@@ -123,6 +123,9 @@
         let mut is_fallback = false;
         while let ReadPath::Relay(relay) = path {
             let read = self.read(&relay, topic, Some(position), self.relay_wait(topic)).await;
+            if matches!(read, Ok(RelayReply::Updates(_) | RelayReply::Unchanged)) {
+                self.state.connectivity.record_relay_reply();
+            }
             match read {
                 Ok(RelayReply::Updates(batch)) => return Ok(self.accept(topic, batch)),
                 Ok(RelayReply::HistoryGone) => {
