front: connections stay idle for as long as their endpoint states, up to 8 s

Change: 0.8 of the stated time, at most 8 s; 4 s where none is stated. Requests that must not be repeated still use only connections idle for 1.5 s: an endpoint may forget one earlier.

--- a/crates/jackdawmux_front/src/upstream/exchange.rs
+++ b/crates/jackdawmux_front/src/upstream/exchange.rs
@@ -74,7 +74,10 @@
         };
         on_send();
         match connection.sender.try_send_request(request).await {
-            Ok(response) => return ExchangeOutcome::Answered(Box::new(response), connection),
+            Ok(response) => {
+                connection.read_keep_alive(response.headers());
+                return ExchangeOutcome::Answered(Box::new(response), connection);
+            }
             Err(mut failed) => match failed.take_message() {
                 // The pooled connection had closed before any byte was written to it.
                 Some(returned) if connection.is_reused => request = returned,
--- a/crates/jackdawmux_front/src/upstream/pool.rs
+++ b/crates/jackdawmux_front/src/upstream/pool.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use axum::body::Body;
+use axum::http::HeaderMap;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use jackdawmux_policy::fleet::choice::EndpointKey;
@@ -19,10 +20,15 @@
 
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 8;
-/// How long a connection may stay idle. Endpoints close idle connections after several seconds; if
-/// one closes while a request is being sent, it is unknown whether the request ran.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-/// The same for requests that must not run more than once.
+/// How long a connection may stay idle if its endpoint does not state a timeout. Endpoints close idle
+/// connections after several seconds; if one closes while a request is being sent, it is unknown
+/// whether the request ran.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Maximum time that a connection may stay idle. Each holds a descriptor and its buffers.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
+/// Share of the timeout that an endpoint states for which a connection is used again.
+const STATED_TIMEOUT_SHARE: f64 = 0.8;
+/// Maximum idle time of a connection for requests that must not run more than once.
 const AT_MOST_ONCE_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Upper bound of a connection's read buffer, in bytes.
 const MAX_READ_BUFFER_BYTES: usize = 16 * 1024;
@@ -34,6 +40,25 @@
     /// Whether the connection has carried a request before.
     pub(super) is_reused: bool,
     endpoint: EndpointKey,
+    /// How long it may stay idle.
+    idle_timeout: Duration,
+}
+
+impl PooledConnection {
+    /// Reads for how long the endpoint keeps the connection open while it is idle.
+    pub(super) fn read_keep_alive(&mut self, headers: &HeaderMap) {
+        let stated = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+        if let Some(timeout) = stated.and_then(parse_keep_alive) {
+            self.idle_timeout = timeout.mul_f64(STATED_TIMEOUT_SHARE).min(MAX_IDLE_TIMEOUT);
+        }
+    }
+}
+
+/// Parses the timeout in a `Keep-Alive` header.
+fn parse_keep_alive(text: &str) -> Option<Duration> {
+    let mut parameters = text.split(',').filter_map(|parameter| parameter.trim().split_once('='));
+    let (_, seconds) = parameters.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
 }
 
 #[derive(Debug)]
@@ -55,10 +80,11 @@
         endpoint: EndpointKey,
         is_at_most_once: bool,
     ) -> Option<PooledConnection> {
-        let idle_timeout = if is_at_most_once { AT_MOST_ONCE_IDLE_TIMEOUT } else { IDLE_TIMEOUT };
+        let bound = if is_at_most_once { AT_MOST_ONCE_IDLE_TIMEOUT } else { MAX_IDLE_TIMEOUT };
         let mut idle = self.lock();
         let connections = idle.get_mut(&endpoint)?;
         while let Some(candidate) = connections.pop() {
+            let idle_timeout = candidate.connection.idle_timeout.min(bound);
             let is_fresh = candidate.since.elapsed() < idle_timeout;
             if is_fresh && candidate.connection.sender.is_ready() {
                 return Some(candidate.connection);
@@ -88,7 +114,8 @@
                 log::debug!("event=upstream-connection-ended peer={address} error={error:?}");
             }
         });
-        Ok(PooledConnection { sender, is_reused: false, endpoint })
+        let idle_timeout = DEFAULT_IDLE_TIMEOUT;
+        Ok(PooledConnection { sender, is_reused: false, endpoint, idle_timeout })
     }
 
     /// Returns a connection to the pool. Its last response must have been read to the end.
@@ -114,7 +141,8 @@
     pub(crate) fn close_expired(&self) {
         self.lock().retain(|_, connections| {
             connections.retain(|idle| {
-                idle.since.elapsed() < IDLE_TIMEOUT && !idle.connection.sender.is_closed()
+                let timeout = idle.connection.idle_timeout;
+                idle.since.elapsed() < timeout && !idle.connection.sender.is_closed()
             });
             !connections.is_empty()
         });
