soak: restores of the store from an older copy

--restores COUNT plans restores beside the other faults, whose draws stay the same; the operator and the endpoints write again what was lost, in another order each time, unless it has been changed since.

--- a/crates/jackdawmux_entry/examples/soak.rs
+++ b/crates/jackdawmux_entry/examples/soak.rs
@@ -22,6 +22,7 @@
     endpoints: usize,
     callers: usize,
     seconds: u64,
+    restores: usize,
 }
 
 fn parser() -> OptionParser<SoakFlags> {
@@ -34,9 +35,22 @@
     let callers = long("callers").help("Callers per run").argument("COUNT").fallback(24);
     let seconds =
         long("seconds").help("Duration of fault injection").argument("SECONDS").fallback(30);
-    construct!(SoakFlags { first_seed, seeds, parallel, fronts, endpoints, callers, seconds })
-        .to_options()
-        .descr("Runs real front processes under random faults and checks their promises")
+    let restores = long("restores")
+        .help("Restores of the store from an older copy per run")
+        .argument("COUNT")
+        .fallback(0);
+    construct!(SoakFlags {
+        first_seed,
+        seeds,
+        parallel,
+        fronts,
+        endpoints,
+        callers,
+        seconds,
+        restores
+    })
+    .to_options()
+    .descr("Runs real front processes under random faults and checks their promises")
 }
 
 /// Path of the `jackdawmux` binary that cargo built in the same profile as this example.
@@ -75,6 +89,7 @@
         endpoints: flags.endpoints,
         callers: flags.callers,
         fault_duration: Duration::from_secs(flags.seconds),
+        restores: flags.restores,
     };
     let permits = Arc::new(Semaphore::new(flags.parallel));
     let mut runs = JoinSet::new();
--- a/crates/jackdawmux_soak/src/inject.rs
+++ b/crates/jackdawmux_soak/src/inject.rs
@@ -23,6 +23,8 @@
 pub const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Time after a crash until the registration of the endpoint lapses.
 const REGISTRATION_LAPSE: Duration = Duration::from_millis(800);
+/// Interval at which the changes that a restore has lost are written again.
+const REWRITE_INTERVAL: Duration = Duration::from_millis(120);
 /// Interval between two checks for the exit of a process.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -47,6 +49,7 @@
         FaultKind::EndpointLink => inject_endpoint_link_fault(&fleet, fault).await,
         FaultKind::StoreDown => take_store_down(&fleet, fault).await,
         FaultKind::HistoryDropped => drop_history(&fleet, fault),
+        FaultKind::StoreRestored => restore_store(&fleet, fault).await,
         FaultKind::EndpointFails => fail_endpoint(&fleet, fault).await,
         FaultKind::EndpointDrained => drain_endpoint(&fleet, fault).await,
         FaultKind::EndpointCrashed => crash_endpoint(&fleet, fault).await,
@@ -254,6 +257,22 @@
     Ok(())
 }
 
+/// Restores the store from a copy that is as old as the fault is long. The operator and the endpoints
+/// write again what was lost, in an order that depends on the fault's target.
+async fn restore_store(fleet: &SoakFleet, fault: PlannedFault) -> io::Result<()> {
+    let copy = fleet.store.copy();
+    sleep(fault.duration).await;
+    let span = fleet.disturbances.begin(DisturbedComponent::Store, fault.kind);
+    let mut lost = fleet.store.restore(copy);
+    while !lost.is_empty() {
+        let change = lost.swap_remove(fault.target % lost.len());
+        sleep(REWRITE_INTERVAL).await;
+        fleet.store.write_again(&change);
+    }
+    fleet.disturbances.end(span);
+    Ok(())
+}
+
 async fn fail_endpoint(fleet: &SoakFleet, fault: PlannedFault) -> io::Result<()> {
     let endpoint = Arc::clone(&*fleet.active_endpoints[endpoint_index(fleet, fault)].lock().await);
     let component = DisturbedComponent::Endpoint(endpoint.standin.id.clone());
--- a/crates/jackdawmux_soak/src/plan.rs
+++ b/crates/jackdawmux_soak/src/plan.rs
@@ -53,6 +53,9 @@
     StoreDown,
     /// The store drops its watch history.
     HistoryDropped,
+    /// The store comes back from a copy as old as the fault is long. Planned by
+    /// [`generate_restores`] only.
+    StoreRestored,
     /// An endpoint shows one of the failure behaviours.
     EndpointFails,
     /// An endpoint drains and stops; a cold one replaces it.
@@ -111,9 +114,27 @@
     faults
 }
 
+/// Generates restores of the store, in addition to the faults of [`generate_plan`], whose draws they
+/// do not change. Two may follow each other closely.
+pub fn generate_restores(
+    rng: &mut impl Rng,
+    duration: Duration,
+    count: usize,
+) -> Vec<PlannedFault> {
+    let latest = duration.mul_f64(0.8);
+    (0..count)
+        .map(|_| {
+            let start_offset = latest.mul_f64(rng.random_range(0.05..1.0));
+            let kind = FaultKind::StoreRestored;
+            PlannedFault { kind, ..generate_fault(rng, start_offset, duration) }
+        })
+        .collect()
+}
+
 fn generate_fault(rng: &mut impl Rng, start_offset: Duration, end: Duration) -> PlannedFault {
-    let kinds: Vec<FaultKind> =
-        FaultKind::iter().filter(|kind| *kind != FaultKind::SoakStalled).collect();
+    let is_drawn =
+        |kind: &FaultKind| !matches!(kind, FaultKind::SoakStalled | FaultKind::StoreRestored);
+    let kinds: Vec<FaultKind> = FaultKind::iter().filter(is_drawn).collect();
     let kind = *kinds.choose(rng).expect("there are kinds");
     let is_evacuation = kind == FaultKind::DomainEvacuated;
     let (min_ms, max_ms) =
--- a/crates/jackdawmux_soak/src/run.rs
+++ b/crates/jackdawmux_soak/src/run.rs
@@ -18,7 +18,7 @@
 use crate::disturbance::{DisturbanceView, DisturbedComponent};
 use crate::fleet::SoakFleet;
 use crate::inject::inject;
-use crate::plan::{FaultKind, PlannedFault, generate_plan};
+use crate::plan::{FaultKind, PlannedFault, generate_plan, generate_restores};
 use crate::record::RequestOutcome;
 
 /// Time after the last fault within which service must recover: a stability window, the time of a
@@ -45,6 +45,8 @@
     pub callers: usize,
     /// Time during which faults are injected.
     pub fault_duration: Duration,
+    /// Restores of the store from an older copy.
+    pub restores: usize,
 }
 
 /// Result of a run.
@@ -96,7 +98,10 @@
     std::fs::create_dir_all(&directory)?;
     let fleet = SoakFleet::start(size, program.to_owned(), directory.clone()).await?;
     let log = Arc::new(CallerLog::default());
-    let plan = generate_plan(&mut ChaCha8Rng::seed_from_u64(seed), size.fault_duration);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut plan = generate_plan(&mut rng, size.fault_duration);
+    plan.extend(generate_restores(&mut rng, size.fault_duration, size.restores));
+    plan.sort_by_key(|fault| fault.start_offset);
     let (shutdown, shutdown_receiver) = watch::channel(false);
     let mut callers = JoinSet::new();
     for number in 0..size.callers {
