--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -4,6 +4,8 @@
 //! recently needs only a fraction of the time. A request goes to the next endpoint in the object's
 //! preference order only if the preferred one is full, cold, failing or leaving.
 
+mod registrations;
+
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,14 +20,9 @@
 };
 use super::cold_start::{COLD_WINDOW, cold_share};
 use super::crash_record::CrashRecord;
-use super::endpoint_state::{
-    EjectionCounts, EndpointChange, EndpointState, RecentObjects, describe_change, typical_latency,
-};
+use super::endpoint_state::{EjectionCounts, EndpointState, RecentObjects, typical_latency};
 use super::outlier::AttemptOutcome;
-use super::position::{SourcePosition, WatchTopic};
-use super::record::{
-    ConfigRecord, EndpointPhase, EndpointRecord, FleetBounds, RouteRecord, ServiceRecord,
-};
+use super::record::{ConfigRecord, FleetBounds, RouteRecord, ServiceRecord};
 use super::region_share::{RegionShares, region_shares};
 use super::restore::RestoreTracker;
 use super::retry_share::RetryShare;
@@ -33,9 +30,6 @@
 use super::split::SplitTable;
 use crate::clock::PolicyTime;
 
-/// Time after the recovery of the update source within which registrations that expired during the
-/// outage are renewed.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_100);
 /// Maximum number of requests that an endpoint may hold, as a multiple of its slots, for requests of
 /// high priority and for all others. Requests above the limit are refused immediately.
 const MAX_LOAD_HIGH_PRIORITY: f64 = 2.2;
@@ -159,200 +153,6 @@
         self.bounds = bounds;
     }
 
-    /// Records that the update source replies again after an outage. Registrations that are missing
-    /// now may have expired during the outage and may be renewed.
-    pub fn record_source_recovery(&mut self, now: PolicyTime, outage: Duration) {
-        if self.outage.is_some_and(|known| known.is_restore && now < known.ended_at + LAPSE_GRACE) {
-            return;
-        }
-        let started_at = now.before(outage);
-        self.outage = Some(SourceOutage { started_at, ended_at: now, is_restore: false });
-    }
-
-    /// Records that a peer has been connected to the update source for the time `held`. If that
-    /// covers the outage seen by this instance, the source was available throughout, so missing
-    /// registrations have really been removed.
-    pub fn record_peer_source_connection(&mut self, now: PolicyTime, held: Duration) {
-        let Some(outage) = self.outage else {
-            return;
-        };
-        if outage.is_restore || now.before(held) > outage.started_at {
-            return;
-        }
-        self.outage = None;
-        for state in self.services.values_mut().flat_map(|service| &mut service.endpoints) {
-            state.lapses_at = state.lapses_at.map(|end| end.min(now));
-        }
-    }
-
-    /// Records the position of a batch of updates before they are applied. Returns `false` if the
-    /// batch belongs to an era that has ended and must be ignored.
-    pub fn record_position(
-        &mut self,
-        now: PolicyTime,
-        topic: WatchTopic,
-        position: SourcePosition,
-    ) -> bool {
-        if self.restore.is_past_era(position) {
-            return false;
-        }
-        if self.restore.record_position(now, topic, position) {
-            self.outage = Some(SourceOutage { started_at: now, ended_at: now, is_restore: true });
-        }
-        true
-    }
-
-    /// Returns whether the update source has come back from an older copy and objects may still be
-    /// written again.
-    #[must_use]
-    pub fn is_settling(&self, now: PolicyTime) -> bool {
-        self.restore.is_settling(now)
-    }
-
-    /// Returns `true` once after each restore, when the full lists hold again and must be read.
-    pub fn take_settled(&mut self, now: PolicyTime) -> bool {
-        self.restore.take_settled(now)
-    }
-
-    /// Applies the registration of an endpoint that was written at a position. A registration that
-    /// may come from an older copy does not undo what is known of the endpoint.
-    pub fn apply_written_endpoint(
-        &mut self,
-        now: PolicyTime,
-        record: EndpointRecord,
-        written_at: SourcePosition,
-    ) -> EndpointChange {
-        let is_copied = self.restore.is_copied(now, WatchTopic::Endpoints, written_at);
-        if is_copied && self.is_outdated(now, &record) {
-            return EndpointChange::Same;
-        }
-        self.apply_endpoint(now, record)
-    }
-
-    /// Returns whether a copied registration is older than what is known of its endpoint.
-    fn is_outdated(&self, now: PolicyTime, record: &EndpointRecord) -> bool {
-        let key = EndpointKey::of(&record.id);
-        let mut endpoints = self.services.values().flat_map(|service| &service.endpoints);
-        match endpoints.find(|state| state.key == key) {
-            None => self.restore.is_removed(now, record),
-            Some(state) if record.started_ms != state.record.started_ms => {
-                record.started_ms < state.record.started_ms
-            }
-            Some(state) => {
-                state.record.phase == EndpointPhase::Draining
-                    && record.phase == EndpointPhase::Ready
-            }
-        }
-    }
-
-    /// Applies the registration of an endpoint.
-    pub fn apply_endpoint(&mut self, now: PolicyTime, record: EndpointRecord) -> EndpointChange {
-        let key = EndpointKey::of(&record.id);
-        self.first_endpoint_at.get_or_insert(now);
-        self.remove_from_other_services(key, &record.service);
-        let region = self.region_index(&record.domain);
-        let service = self.services.entry(record.service.clone()).or_default();
-        let Some(state) = service.endpoints.iter_mut().find(|state| state.key == key) else {
-            let mut state = EndpointState::new(record, region, now);
-            state.is_leaving = self.restore.was_leaving(now, &state.record);
-            service.endpoints.push(state);
-            return EndpointChange::Joined;
-        };
-        state.lapses_at = None;
-        let change = describe_change(&state.record, &record);
-        if change == EndpointChange::Restarted {
-            self.crashes.record_endpoint_down(now, key);
-        }
-        if change == EndpointChange::Restarted || state.record.address != record.address {
-            let in_flight = state.in_flight;
-            let is_leaving = state.is_leaving && change != EndpointChange::Restarted;
-            *state = EndpointState::new(record, region, now);
-            state.in_flight = in_flight;
-            state.is_leaving = is_leaving;
-            return change;
-        }
-        state.record = record;
-        state.apply_cold_start(now);
-        change
-    }
-
-    /// Removes an endpoint whose registration is missing. After an outage of the update source a
-    /// ready endpoint is kept for a grace period.
-    pub fn remove_endpoint(&mut self, now: PolicyTime, id: &str) -> EndpointChange {
-        let key = EndpointKey::of(id);
-        let lapse_end = self.outage.map(|outage| outage.ended_at + LAPSE_GRACE);
-        for service in self.services.values_mut() {
-            let Some(index) = service.endpoints.iter().position(|state| state.key == key) else {
-                continue;
-            };
-            let state = &mut service.endpoints[index];
-            let is_ready = state.record.phase == EndpointPhase::Ready;
-            if let Some(end) = lapse_end.filter(|end| is_ready && now < *end) {
-                state.lapses_at = Some(end);
-                return EndpointChange::Lapsed;
-            }
-            let removed = service.endpoints.swap_remove(index);
-            self.restore.record_removed(now, &removed.record, removed.is_leaving);
-            return EndpointChange::Left;
-        }
-        EndpointChange::Same
-    }
-
-    /// Replaces the endpoints by a complete list of registrations, each with the position at which
-    /// it was written. Returns the endpoints that changed.
-    pub fn replace_endpoints(
-        &mut self,
-        now: PolicyTime,
-        records: Vec<(EndpointRecord, SourcePosition)>,
-    ) -> Vec<(String, EndpointChange)> {
-        let listed: HashSet<String> =
-            records.iter().map(|(record, _written_at)| record.id.clone()).collect();
-        let missing: Vec<String> = self
-            .services
-            .values()
-            .flat_map(|service| &service.endpoints)
-            .filter(|state| state.lapses_at.is_none() && !listed.contains(&state.record.id))
-            .map(|state| state.record.id.clone())
-            .collect();
-        let mut changes = Vec::new();
-        for id in missing {
-            let change = self.remove_endpoint(now, &id);
-            changes.push((id, change));
-        }
-        for (record, written_at) in records {
-            let id = record.id.clone();
-            let change = self.apply_written_endpoint(now, record, written_at);
-            if change != EndpointChange::Same {
-                changes.push((id, change));
-            }
-        }
-        changes
-    }
-
-    /// Starts or ends the evacuation of a failure domain. Its endpoints are cold after the end.
-    pub fn set_evacuated(&mut self, now: PolicyTime, domain: &str, is_evacuated: bool) {
-        if is_evacuated {
-            self.evacuated.insert(domain.to_owned());
-        } else if self.evacuated.remove(domain) {
-            self.mark_domain_cold(now, domain);
-        }
-    }
-
-    /// Replaces the evacuated failure domains by a complete list. While objects are written again
-    /// after a restore, evacuations that are missing from the list stay in force.
-    pub fn replace_evacuated(&mut self, now: PolicyTime, domains: &[String]) {
-        if self.is_settling(now) {
-            self.evacuated.extend(domains.iter().cloned());
-            return;
-        }
-        let returned: Vec<String> =
-            self.evacuated.iter().filter(|domain| !domains.contains(domain)).cloned().collect();
-        for domain in returned {
-            self.set_evacuated(now, &domain, false);
-        }
-        self.evacuated.extend(domains.iter().cloned());
-    }
-
     /// Performs periodic maintenance: removes endpoints whose grace period is over and updates the
     /// typical latencies. Returns the removed endpoints.
     pub fn tick(&mut self, now: PolicyTime) -> Vec<String> {
@@ -686,27 +486,4 @@
         route.homes.is_empty()
             || self.regions.get(domain).is_some_and(|region| route.homes.contains(region))
     }
-
-    fn remove_from_other_services(&mut self, key: EndpointKey, service: &str) {
-        for (name, state) in &mut self.services {
-            if name != service {
-                state.endpoints.retain(|endpoint| endpoint.key != key);
-            }
-        }
-    }
-
-    fn mark_domain_cold(&mut self, now: PolicyTime, domain: &str) {
-        let table = self.table.clone();
-        for (name, service) in &mut self.services {
-            let record = table.as_ref().and_then(|table| table.service(name));
-            let Some(span) = record.map(|record| record.cold_start) else {
-                continue;
-            };
-            for state in &mut service.endpoints {
-                if state.record.domain == domain {
-                    state.become_cold(now, span);
-                }
-            }
-        }
-    }
 }
--- a/crates/jackdawmux_runtime/src/lib.rs
+++ b/crates/jackdawmux_runtime/src/lib.rs
@@ -2,6 +2,7 @@
 //! logging.
 
 mod clock;
+mod guarded_stream;
 mod head_guard;
 mod headers;
 mod listener;
@@ -13,7 +14,8 @@
 mod timer;
 
 pub use clock::ProcessClock;
-pub use head_guard::{FramingTracker, GuardedStream, HeadError, HeadObserver};
+pub use guarded_stream::GuardedStream;
+pub use head_guard::{FramingTracker, HeadError, HeadObserver};
 pub use headers::strip_hop_by_hop_headers;
 pub use listener::{CallerListener, ListenerLimits};
 pub use log_writer::{LogDrain, LogWriter, init_logging};
--- a/crates/jackdawmux_runtime/src/listener.rs
+++ b/crates/jackdawmux_runtime/src/listener.rs
@@ -17,7 +17,8 @@
 use tokio::time::timeout;
 use tower::ServiceExt;
 
-use crate::head_guard::{GuardedStream, HeadObserver};
+use crate::guarded_stream::GuardedStream;
+use crate::head_guard::HeadObserver;
 use crate::read_ahead::{ReadAhead, ReadAheadFilter};
 use crate::sockets::configure_caller_stream;
 
