--- a/crates/jackdawmux_soak/src/run.rs
+++ b/crates/jackdawmux_soak/src/run.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use rand::SeedableRng;
@@ -29,6 +30,8 @@
 /// Interval between two checks for fronts that exited unexpectedly.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Number of the next run in this process.
+static NEXT_RUN: AtomicU64 = AtomicU64::new(0);
 /// Sleep interval of the task that detects stalls of the soak process.
 const STALL_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Minimum delay of that task that counts as a stall.
@@ -93,7 +96,9 @@
 /// # Errors
 /// When the fleet cannot be started, or the run's directory cannot be created or deleted.
 pub async fn run_seed(seed: u64, size: SoakSize, program: &Path) -> io::Result<SoakReport> {
-    let name = format!("jackdawmux-soak-{}-{seed}", std::process::id());
+    // Runs with the same seed may run at the same time.
+    let number = NEXT_RUN.fetch_add(1, Ordering::Relaxed);
+    let name = format!("jackdawmux-soak-{}-{seed}-{number}", std::process::id());
     let directory = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&directory)?;
     let fleet = SoakFleet::start(size, program.to_owned(), directory.clone()).await?;
