--- a/crates/jackdawmux_policy/tests/endpoint_notices.rs
+++ b/crates/jackdawmux_policy/tests/endpoint_notices.rs
@@ -131,6 +131,124 @@
     assert!(choose(&mut steering, at(100) + refusal.retry_after, 1).is_ok());
 }
 
+/// An outage of the source that ended at `ended_at`; registrations that lapsed are kept for a while.
+fn end_outage(steering: &mut FleetSteering, ended_at: PolicyTime) {
+    steering.record_source_recovery(ended_at, Duration::from_secs(3));
+}
+
+/// Removes an endpoint, as `way` says, so that the same registration can be listed again.
+fn remove(steering: &mut FleetSteering, way: Removal, id: &str) {
+    match way {
+        Removal::Withdrawn => {
+            steering.remove_endpoint(at(1_000), id);
+        }
+        Removal::GraceOver => {
+            end_outage(steering, at(900));
+            steering.remove_endpoint(at(1_000), id);
+            assert_eq!(steering.tick(at(3_100)), [id.to_owned()]);
+        }
+        Removal::OtherService => {
+            let index = (0..6).find(|index| endpoint(*index).id == id).expect("a listed endpoint");
+            let moved = EndpointRecord { service: "other".to_owned(), ..endpoint(index) };
+            steering.apply_endpoint(at(1_000), moved);
+        }
+        Removal::OlderIncarnation => {
+            let index = (0..6).find(|index| endpoint(*index).id == id).expect("a listed endpoint");
+            steering.apply_endpoint(at(1_000), EndpointRecord { started_ms: 0, ..endpoint(index) });
+        }
+    }
+}
+
+/// How an endpoint leaves the table of its service.
+#[derive(Clone, Copy, Debug)]
+enum Removal {
+    /// Its registration is removed.
+    Withdrawn,
+    /// It is not renewed within the grace period after an outage.
+    GraceOver,
+    /// It registers for another service.
+    OtherService,
+    /// An earlier registration of it is applied, and removed.
+    OlderIncarnation,
+}
+
+macro_rules! removal_cases {
+    ($($name:ident: $removal:ident,)*) => {
+        mod an_endpoint_listed_again_keeps {
+            use super::*;
+
+            $(
+                /// Guards against use of an endpoint that had stated that it is leaving, after its
+                /// entry was dropped and the same incarnation is listed again.
+                #[test]
+                fn $name() {
+                    let mut steering = front(6);
+                    let choice = choose(&mut steering, at(10), 1).expect("an endpoint is usable");
+                    steering.record_notice(at(20), &choice, LEAVING);
+                    remove(&mut steering, Removal::$removal, &choice.id);
+                    steering.replace_endpoints(at(3_200), listed((0..6).map(endpoint)));
+                    assert!(!shares(&mut steering, at(3_300)).contains_key(&choice.key));
+                }
+            )*
+        }
+
+        mod an_endpoint_listed_again_pauses {
+            use super::*;
+
+            $(
+                /// Guards against use of an endpoint that had asked for a pause, after its entry was
+                /// dropped and the same incarnation is listed again within the pause.
+                #[test]
+                fn $name() {
+                    let mut steering = front(6);
+                    let choice = choose(&mut steering, at(10), 1).expect("an endpoint is usable");
+                    steering.record_notice(at(20), &choice, pause(5_000));
+                    remove(&mut steering, Removal::$removal, &choice.id);
+                    steering.replace_endpoints(at(3_200), listed((0..6).map(endpoint)));
+                    assert!(!shares(&mut steering, at(3_300)).contains_key(&choice.key));
+                    assert!(shares(&mut steering, at(6_400)).contains_key(&choice.key));
+                }
+            )*
+        }
+    };
+}
+
+removal_cases! {
+    when_withdrawn: Withdrawn,
+    when_not_renewed_after_an_outage: GraceOver,
+    when_it_served_another_service: OtherService,
+    when_an_older_registration_was_applied: OlderIncarnation,
+}
+
+/// Guards against a statement that is lost because its response arrives after the endpoint's
+/// registration was removed.
+#[test]
+fn a_statement_that_arrives_after_the_removal_counts_when_the_endpoint_is_listed_again() {
+    let mut steering = front(6);
+    let choice = choose(&mut steering, at(10), 1).expect("an endpoint is usable");
+    steering.remove_endpoint(at(20), &choice.id);
+    assert_eq!(steering.record_notice(at(30), &choice, LEAVING), NoticeEffect::Leaving);
+    steering.replace_endpoints(at(40), listed((0..6).map(endpoint)));
+    assert!(!shares(&mut steering, at(50)).contains_key(&choice.key));
+}
+
+/// Guards against a statement that a later removal of the same incarnation overwrites.
+#[test]
+fn a_second_removal_does_not_erase_what_the_endpoint_stated() {
+    let mut steering = front(6);
+    let choice = choose(&mut steering, at(10), 1).expect("an endpoint is usable");
+    steering.record_notice(at(20), &choice, LEAVING);
+    for round in 1_u64..4 {
+        steering.remove_endpoint(at(round * 100), &choice.id);
+        let newer = (0..6).map(|index| EndpointRecord { started_ms: 1 + round, ..endpoint(index) });
+        steering.replace_endpoints(at(round * 100 + 20), listed(newer));
+        steering.remove_endpoint(at(round * 100 + 40), &choice.id);
+        steering.replace_endpoints(at(round * 100 + 60), listed((0..6).map(endpoint)));
+        let now = at(round * 100 + 80);
+        assert!(!shares(&mut steering, now).contains_key(&choice.key), "round {round}");
+    }
+}
+
 proptest! {
     #[test]
     fn a_pause_is_bounded_and_never_shorter_than_requested(
