policy: what an endpoint stated outlives its registration

Cause on the present code: leaving and the end of a pause were fields of the state that belongs to a registration. They were lost when that state was dropped without a tombstone (the grace period after an outage, a move to another service), replaced (an older registration), when the response arrived after the removal, and when a removal of another incarnation overwrote the tombstone; a pause had no tombstone at all. The same incarnation, listed again, was used at once. Change: statements are kept by incarnation in policy::fleet::notices, apart from registrations, and copied to the state of an endpoint whenever that is created. Tombstones no longer carry them.

--- a/crates/jackdawmux_policy/src/fleet/endpoint_state.rs
+++ b/crates/jackdawmux_policy/src/fleet/endpoint_state.rs
@@ -8,6 +8,7 @@
 
 use super::choice::EndpointKey;
 use super::cold_start::ColdRateLimiter;
+use super::notices::{EndpointIncarnation, StatedNotice};
 use super::outlier::{EjectionCause, OutlierState};
 use super::record::{EndpointPhase, EndpointRecord};
 use crate::clock::PolicyTime;
@@ -61,14 +62,17 @@
     /// Set while the endpoint is unreachable: how long it counts as cold once it responds again.
     pub(super) cold_after_recovery: Option<Duration>,
     pub(super) lapses_at: Option<PolicyTime>,
-    /// Whether a response of this incarnation stated that it is leaving.
-    pub(super) is_leaving: bool,
-    /// Until when the endpoint wants no further requests from this instance.
-    pub(super) paused_until: PolicyTime,
+    /// What this incarnation stated in its responses.
+    pub(super) stated: StatedNotice,
 }
 
 impl EndpointState {
-    pub(super) fn new(record: EndpointRecord, region: usize, now: PolicyTime) -> Self {
+    pub(super) fn new(
+        record: EndpointRecord,
+        region: usize,
+        now: PolicyTime,
+        stated: StatedNotice,
+    ) -> Self {
         let key = EndpointKey::of(&record.id);
         let mut state = Self {
             id: Arc::from(record.id.as_str()),
@@ -82,14 +86,17 @@
             outlier: OutlierState::default(),
             cold_after_recovery: None,
             lapses_at: None,
-            is_leaving: false,
-            paused_until: PolicyTime::default(),
+            stated,
             record,
         };
         state.apply_cold_start(now);
         state
     }
 
+    pub(super) const fn incarnation(&self) -> EndpointIncarnation {
+        EndpointIncarnation { key: self.key, started_ms: self.record.started_ms }
+    }
+
     pub(super) fn apply_cold_start(&mut self, now: PolicyTime) {
         if !self.record.cold_left.is_zero() {
             self.become_cold(now, self.record.cold_left);
@@ -104,7 +111,7 @@
     /// registration say.
     pub(super) fn accepts_requests(&self, now: PolicyTime) -> bool {
         self.record.phase == EndpointPhase::Ready
-            && !self.is_leaving
+            && !self.stated.is_leaving
             && self.lapses_at.is_none_or(|end| now < end)
     }
 
--- a/crates/jackdawmux_policy/src/fleet/mod.rs
+++ b/crates/jackdawmux_policy/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 pub mod directory;
 pub mod endpoint_state;
 pub mod freshness;
+mod notices;
 pub mod outlier;
 pub mod placement;
 pub mod position;
--- a/crates/jackdawmux_policy/src/fleet/restore.rs
+++ b/crates/jackdawmux_policy/src/fleet/restore.rs
@@ -29,8 +29,6 @@
     /// Start of the latest incarnation that was removed.
     started_ms: u64,
     removed_at: PolicyTime,
-    /// Whether a response of the incarnation stated that it is leaving.
-    is_leaving: bool,
 }
 
 /// Era of the update source, and the endpoints that were removed recently.
@@ -98,13 +96,12 @@
         self.is_settling(now) && floor.is_none_or(|floor| written_at.revision <= floor)
     }
 
-    /// Remembers that an endpoint was removed, and whether a response of it stated that it is
-    /// leaving.
-    pub fn record_removed(&mut self, now: PolicyTime, record: &EndpointRecord, is_leaving: bool) {
+    /// Remembers that an endpoint was removed.
+    pub fn record_removed(&mut self, now: PolicyTime, record: &EndpointRecord) {
         self.prune(now);
         if self.tombstones.len() < MAX_TOMBSTONES {
             let started_ms = record.started_ms;
-            let tombstone = Tombstone { started_ms, removed_at: now, is_leaving };
+            let tombstone = Tombstone { started_ms, removed_at: now };
             self.tombstones.insert(EndpointKey::of(&record.id), tombstone);
         }
     }
@@ -116,14 +113,6 @@
             .is_some_and(|tombstone| record.started_ms <= tombstone.started_ms)
     }
 
-    /// Returns whether an incarnation that was removed had stated that it is leaving.
-    #[must_use]
-    pub fn was_leaving(&self, now: PolicyTime, record: &EndpointRecord) -> bool {
-        self.tombstone(now, record).is_some_and(|tombstone| {
-            tombstone.is_leaving && record.started_ms == tombstone.started_ms
-        })
-    }
-
     fn tombstone(&self, now: PolicyTime, record: &EndpointRecord) -> Option<&Tombstone> {
         let tombstone = self.tombstones.get(&EndpointKey::of(&record.id))?;
         (now.since(tombstone.removed_at) < TOMBSTONE_RETENTION).then_some(tombstone)
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -21,6 +21,7 @@
 use super::cold_start::{COLD_WINDOW, cold_share};
 use super::crash_record::CrashRecord;
 use super::endpoint_state::{EjectionCounts, EndpointState, RecentObjects, typical_latency};
+use super::notices::{EndpointIncarnation, NoticeRegister};
 use super::outlier::AttemptOutcome;
 use super::record::{ConfigRecord, FleetBounds, RouteRecord, ServiceRecord};
 use super::region_share::{RegionShares, region_shares};
@@ -87,6 +88,7 @@
     splits: SplitTable,
     outage: Option<SourceOutage>,
     restore: RestoreTracker,
+    notices: NoticeRegister,
     recent: RecentObjects,
     crashes: CrashRecord,
     /// When the first endpoint was added in this process.
@@ -121,6 +123,7 @@
             splits: SplitTable::default(),
             outage: None,
             restore: RestoreTracker::default(),
+            notices: NoticeRegister::default(),
             recent: RecentObjects::default(),
             crashes: CrashRecord::default(),
             first_endpoint_at: None,
@@ -156,8 +159,12 @@
     /// Performs periodic maintenance: removes endpoints whose grace period is over and updates the
     /// typical latencies. Returns the removed endpoints.
     pub fn tick(&mut self, now: PolicyTime) -> Vec<String> {
+        self.notices.prune(now);
         let mut removed = Vec::new();
         for service in self.services.values_mut() {
+            for state in service.endpoints.iter().filter(|state| state.stated.is_leaving) {
+                self.notices.record(now, state.incarnation(), true, None);
+            }
             service.endpoints.retain(|state| {
                 let is_expired = state.lapses_at.is_some_and(|end| now >= end);
                 if is_expired {
@@ -275,19 +282,17 @@
         choice: &EndpointChoice,
         notice: EndpointNotice,
     ) -> NoticeEffect {
-        let endpoints = self.services.values_mut().flat_map(|service| &mut service.endpoints);
+        let incarnation = EndpointIncarnation { key: choice.key, started_ms: choice.started_ms };
+        let was_leaving = self.notices.stated(incarnation).is_leaving;
+        let pause =
+            notice.retry_after.map(|requested| endpoint_pause(requested, &self.own, choice.key));
+        let stated = self.notices.record(now, incarnation, notice.is_leaving, pause);
         // A late response of an earlier incarnation says nothing about the present one.
-        let mut matching = endpoints.filter(|state| {
-            state.key == choice.key && state.record.started_ms == choice.started_ms
-        });
-        let Some(state) = matching.next() else {
-            return NoticeEffect::None;
-        };
-        if let Some(requested) = notice.retry_after {
-            let pause = endpoint_pause(requested, &self.own, choice.key);
-            state.paused_until = state.paused_until.max(now + pause);
+        let endpoints = self.services.values_mut().flat_map(|service| &mut service.endpoints);
+        for state in endpoints.filter(|state| state.incarnation() == incarnation) {
+            state.stated = stated;
         }
-        if notice.is_leaving && !std::mem::replace(&mut state.is_leaving, true) {
+        if notice.is_leaving && !was_leaving {
             return NoticeEffect::Leaving;
         }
         notice.retry_after.map_or(NoticeEffect::None, NoticeEffect::Paused)
@@ -342,7 +347,8 @@
         for (index, state) in service.endpoints.iter().enumerate() {
             let is_allowed =
                 counts.is_allowed(state.outlier.ejection(now)) || state.outlier.is_probe_due(now);
-            let is_excluded = now < state.paused_until || query.attempted.contains(&state.key);
+            let is_excluded =
+                now < state.stated.paused_until || query.attempted.contains(&state.key);
             if !is_allowed || is_excluded || !is_eligible(state) {
                 continue;
             }
@@ -377,8 +383,9 @@
         let pauses = endpoints
             .into_iter()
             .flatten()
-            .filter(|state| now < state.paused_until && self.is_eligible(now, query.route, state));
-        match pauses.map(|state| state.paused_until.since(now)).min() {
+            .map(|state| (state, state.stated.paused_until))
+            .filter(|(state, end)| now < *end && self.is_eligible(now, query.route, state));
+        match pauses.map(|(_, end)| end.since(now)).min() {
             Some(pause) => refuse(ChoiceRefusalReason::Paused, pause),
             None => refuse(ChoiceRefusalReason::NoEndpoint, NO_ENDPOINT_RETRY_AFTER),
         }
--- a/crates/jackdawmux_policy/src/fleet/steering/registrations.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering/registrations.rs
@@ -5,6 +5,7 @@
 
 use super::super::choice::EndpointKey;
 use super::super::endpoint_state::{EndpointChange, EndpointState, describe_change};
+use super::super::notices::EndpointIncarnation;
 use super::super::position::{SourcePosition, WatchTopic};
 use super::super::record::{EndpointPhase, EndpointRecord};
 use super::{FleetSteering, SourceOutage};
@@ -107,11 +108,11 @@
         self.first_endpoint_at.get_or_insert(now);
         self.remove_from_other_services(key, &record.service);
         let region = self.region_index(&record.domain);
+        let stated =
+            self.notices.stated(EndpointIncarnation { key, started_ms: record.started_ms });
         let service = self.services.entry(record.service.clone()).or_default();
         let Some(state) = service.endpoints.iter_mut().find(|state| state.key == key) else {
-            let mut state = EndpointState::new(record, region, now);
-            state.is_leaving = self.restore.was_leaving(now, &state.record);
-            service.endpoints.push(state);
+            service.endpoints.push(EndpointState::new(record, region, now, stated));
             return EndpointChange::Joined;
         };
         state.lapses_at = None;
@@ -121,10 +122,8 @@
         }
         if change == EndpointChange::Restarted || state.record.address != record.address {
             let in_flight = state.in_flight;
-            let is_leaving = state.is_leaving && change != EndpointChange::Restarted;
-            *state = EndpointState::new(record, region, now);
+            *state = EndpointState::new(record, region, now, stated);
             state.in_flight = in_flight;
-            state.is_leaving = is_leaving;
             return change;
         }
         state.record = record;
@@ -148,7 +147,7 @@
                 return EndpointChange::Lapsed;
             }
             let removed = service.endpoints.swap_remove(index);
-            self.restore.record_removed(now, &removed.record, removed.is_leaving);
+            self.restore.record_removed(now, &removed.record);
             return EndpointChange::Left;
         }
         EndpointChange::Same
