policy: endpoints that are gone after an outage leave a tombstone

Callers would see: after an outage and a later restore of the source, requests to an endpoint that had gone, because the copy still lists it. Cause: the grace period after an outage ended without a record of the removal; only withdrawn registrations had one. Ruled out: a record on the move to another service; the endpoint is not gone then. Test: tombstones::an_endpoint_that_was_not_renewed_after_an_outage_is_not_used_from_a_copy, red before (chosen from the copy), green now.

--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -168,6 +168,7 @@
             service.endpoints.retain(|state| {
                 let is_expired = state.lapses_at.is_some_and(|end| now >= end);
                 if is_expired {
+                    self.restore.record_removed(now, &state.record);
                     removed.push(state.record.id.clone());
                 }
                 !is_expired
