policy: the removal of an earlier incarnation keeps the tombstone of a later one

Callers would see: after a restore of the source, requests to an incarnation that had left, because the copy still lists it. Cause: a tombstone was replaced whole by the next removal under the same identity, also by that of an earlier incarnation. Ruled out: one tombstone for each incarnation; only the latest start is ever compared. Test: tombstones::the_removal_of_an_earlier_incarnation_does_not_replace_that_of_a_later_one, red before, green now; restore_model green.

--- a/crates/jackdawmux_policy/src/fleet/restore.rs
+++ b/crates/jackdawmux_policy/src/fleet/restore.rs
@@ -96,14 +96,18 @@
         self.is_settling(now) && floor.is_none_or(|floor| written_at.revision <= floor)
     }
 
-    /// Remembers that an endpoint was removed.
+    /// Remembers that an endpoint was removed. The removal of an earlier incarnation does not
+    /// replace that of a later one.
     pub fn record_removed(&mut self, now: PolicyTime, record: &EndpointRecord) {
         self.prune(now);
-        if self.tombstones.len() < MAX_TOMBSTONES {
-            let started_ms = record.started_ms;
-            let tombstone = Tombstone { started_ms, removed_at: now };
-            self.tombstones.insert(EndpointKey::of(&record.id), tombstone);
+        let key = EndpointKey::of(&record.id);
+        if self.tombstones.len() >= MAX_TOMBSTONES && !self.tombstones.contains_key(&key) {
+            return;
         }
+        let tombstone =
+            self.tombstones.entry(key).or_insert(Tombstone { started_ms: 0, removed_at: now });
+        tombstone.started_ms = tombstone.started_ms.max(record.started_ms);
+        tombstone.removed_at = now;
     }
 
     /// Returns whether an incarnation of an endpoint was removed, or an incarnation after it.
--- a/crates/jackdawmux_policy/tests/tombstones.rs
+++ b/crates/jackdawmux_policy/tests/tombstones.rs
@@ -66,6 +66,17 @@
     assert!(!is_used_after_restore(&mut steering, started(7)));
 }
 
+/// Guards against use of an incarnation that was removed, because the removal of an earlier one
+/// replaced its tombstone.
+#[test]
+fn the_removal_of_an_earlier_incarnation_does_not_replace_that_of_a_later_one() {
+    let mut steering = front(7);
+    steering.remove_endpoint(at(100), &endpoint(0).id);
+    steering.apply_endpoint(at(200), started(5));
+    steering.remove_endpoint(at(300), &endpoint(0).id);
+    assert!(!is_used_after_restore(&mut steering, started(7)));
+}
+
 #[test]
 fn a_later_incarnation_than_the_removed_one_is_used_from_a_copy() {
     let mut steering = front(7);
