front, policy: a process that starts after a restore gets the configuration of its peers

Cause: a new process knows only what the source names. After a restore that is the copy, until the operator has written the lost version again; its peers keep the later one but did not say so. Change: heartbeats state the version in force (a sixth element; four and five are still read). A front whose peer has been ahead for 0.4 of the update deadline reads the configuration from it (/relay/config, CBOR, over the port of the heartbeats) and applies it if it is newer. Versions only rise, so no reply can take one back. Ruled out: positions in heartbeats (after the restore the peers' positions are the copy's, too); lists of relays (they hold the copy; smaller groups have none).

--- a/crates/jackdawmux_front/src/process/heartbeat.rs
+++ b/crates/jackdawmux_front/src/process/heartbeat.rs
@@ -27,7 +27,7 @@
 /// crashes.
 const MAX_HEARTBEAT_BYTES: usize = 512;
 /// Elements of an encoded heartbeat.
-const HEARTBEAT_ELEMENTS: usize = 5;
+const HEARTBEAT_ELEMENTS: usize = 6;
 
 /// State that an instance sends to the others at regular intervals.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -44,6 +44,9 @@
     /// Newest change that the sender has applied, by topic; zeros from a sender that does not state
     /// them.
     pub newest_changes: NewestChanges,
+    /// Version of the configuration in force at the sender; zero if there is none or the sender does
+    /// not state it.
+    pub config_version: u64,
 }
 
 impl Serialize for Heartbeat {
@@ -55,6 +58,7 @@
         tuple.serialize_element(&self.crashes)?;
         tuple
             .serialize_element(&self.newest_changes.map(|change| (change.era, change.revision)))?;
+        tuple.serialize_element(&self.config_version)?;
         tuple.end()
     }
 }
@@ -71,7 +75,7 @@
     type Value = Heartbeat;
 
     fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("a heartbeat of four or five elements")
+        formatter.write_str("a heartbeat of four to six elements")
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut elements: A) -> Result<Heartbeat, A::Error> {
@@ -80,11 +84,19 @@
         let is_serving = elements.next_element()?.ok_or_else(|| missing(1))?;
         let source_connected_ms = elements.next_element()?.ok_or_else(|| missing(2))?;
         let crashes = elements.next_element()?.ok_or_else(|| missing(3))?;
-        // Instances of earlier releases send four elements.
+        // Instances of earlier releases send four or five elements.
         let positions: [(u64, u64); WatchTopic::COUNT] =
             elements.next_element()?.unwrap_or_default();
         let newest_changes = positions.map(|(era, revision)| SourcePosition { era, revision });
-        Ok(Heartbeat { instance, is_serving, source_connected_ms, crashes, newest_changes })
+        let config_version = elements.next_element()?.unwrap_or_default();
+        Ok(Heartbeat {
+            instance,
+            is_serving,
+            source_connected_ms,
+            crashes,
+            newest_changes,
+            config_version,
+        })
     }
 }
 
@@ -109,6 +121,7 @@
 /// Sends one heartbeat to each peer that the directory selects.
 pub(crate) async fn send_heartbeats(state: &FrontState, socket: &UdpSocket) {
     let connected = state.connectivity.connected_for();
+    let config_version = state.config_version();
     let heartbeat = Heartbeat {
         instance: state.settings.instance.clone(),
         is_serving: state.phase() == FrontPhase::Serving,
@@ -116,6 +129,7 @@
         source_connected_ms: connected
             .map_or(0, |span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX)),
         newest_changes: state.freshness().applied(),
+        config_version,
     };
     let bytes = match encode_heartbeat(&heartbeat) {
         Ok(bytes) => bytes,
--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use jackdawmux_policy::clock::PolicyTime;
+use jackdawmux_policy::fleet::config_freshness::ConfigFreshness;
 use jackdawmux_policy::fleet::directory::InstanceDirectory;
 use jackdawmux_policy::fleet::freshness::FreshnessTracker;
 use jackdawmux_policy::fleet::relay::{ReadPath, RelaySuspicions};
@@ -58,7 +59,10 @@
     pub(crate) registration_lost: Notify,
     /// Notified when a peer has applied an update of a topic that this instance has not.
     pub(crate) is_behind: [Notify; WatchTopic::COUNT],
+    /// Name of the peer whose later configuration is to be read.
+    pub(crate) later_config_at: watch::Sender<String>,
     steering: Mutex<FleetSteering>,
+    config_freshness: Mutex<ConfigFreshness>,
     freshness: Mutex<FreshnessTracker>,
     directory: Mutex<InstanceDirectory>,
     registered_at: Mutex<Option<SourcePosition>>,
@@ -92,7 +96,9 @@
             bypasses_relay: Default::default(),
             registration_lost: Notify::new(),
             is_behind: Default::default(),
+            later_config_at: watch::Sender::default(),
             steering: Mutex::new(steering),
+            config_freshness: Mutex::default(),
             freshness: Mutex::default(),
             directory: Mutex::new(directory),
             registered_at: Mutex::default(),
@@ -111,6 +117,16 @@
         self.freshness.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the comparison of the configuration in force with those of the peers.
+    pub(crate) fn config_freshness(&self) -> MutexGuard<'_, ConfigFreshness> {
+        self.config_freshness.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Version of the configuration in force; zero if there is none.
+    pub(crate) fn config_version(&self) -> u64 {
+        self.steering().table().map_or(0, |table| table.version())
+    }
+
     /// Locks the directory of instances.
     pub(crate) fn directory(&self) -> MutexGuard<'_, InstanceDirectory> {
         self.directory.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -3,9 +3,11 @@
 //! Requests only read the sets of endpoints, instances and routes; every change to them is made
 //! here and is logged with its position in the source's history.
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
+use jackdawmux_policy::clock::PolicyTime;
 use jackdawmux_policy::fleet::choice::EndpointKey;
 use jackdawmux_policy::fleet::endpoint_state::EndpointChange;
 use jackdawmux_policy::fleet::record::{CallerLimits, ConfigRecord, FleetBounds, InstanceRecord};
@@ -33,6 +35,10 @@
 /// change at slightly different times.
 const BEHIND_GRACE: Duration = Duration::from_millis(500);
 
+/// Time for which a peer may have a later configuration, as a share of the time within which an
+/// update must be applied, before it is read from that peer.
+const CONFIG_GRACE_SHARE: f64 = 0.4;
+
 /// The only task that applies updates to the fleet state.
 #[derive(Actor, Debug)]
 pub(crate) struct StateActor {
@@ -65,6 +71,14 @@
 #[derive(Debug)]
 pub(crate) struct HeartbeatReceived(pub(crate) Heartbeat);
 
+/// The configuration in force at a peer.
+#[derive(Debug)]
+pub(crate) struct ApplyPeerConfig {
+    pub(crate) config: ConfigRecord,
+    /// Name of the peer.
+    pub(crate) peer: String,
+}
+
 /// Starts the periodic maintenance: removes lapsed endpoints and closes expired connections.
 #[derive(Debug)]
 pub(crate) struct MaintenanceTick;
@@ -128,7 +142,11 @@
         let mut steering = self.state.steering();
         steering.record_peer_source_connection(now, connected);
         steering.crashes_mut().apply_peer_crashes(now, &heartbeat.instance, &heartbeat.crashes);
+        let own = steering.table().map_or(0, |table| table.version());
         drop(steering);
+        let mut config_freshness = self.state.config_freshness();
+        config_freshness.record_peer(now, own, &heartbeat.instance, heartbeat.config_version);
+        drop(config_freshness);
         let mut freshness = self.state.freshness();
         for (topic, newest) in WatchTopic::iter().zip(heartbeat.newest_changes) {
             freshness.record_peer(now, topic, newest);
@@ -136,6 +154,16 @@
     }
 }
 
+impl Message<ApplyPeerConfig> for StateActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: ApplyPeerConfig, _context: &mut Context<Self, ()>) {
+        let ApplyPeerConfig { config, peer } = message;
+        self.apply_config(config, &format_args!("peer={peer}"));
+        self.refresh_phase();
+    }
+}
+
 impl Message<MaintenanceTick> for StateActor {
     type Reply = ();
 
@@ -151,6 +179,7 @@
             log::info!("event=restore-settled");
             self.state.is_behind.iter().for_each(Notify::notify_one);
         }
+        self.check_config(now);
         let is_direct = self.state.read_path() == ReadPath::Direct;
         let times = RelayTimes::new(self.state.settings.bounds.update_deadline);
         let relay_delay = if is_direct { Duration::ZERO } else { times.batch_delay };
@@ -172,6 +201,16 @@
 }
 
 impl StateActor {
+    /// Has the configuration of a peer read that has been ahead for a while.
+    fn check_config(&self, now: PolicyTime) {
+        let own = self.state.config_version();
+        let grace = self.state.settings.bounds.update_deadline.mul_f64(CONFIG_GRACE_SHARE);
+        if let Some(peer) = self.state.config_freshness().take_behind(now, own, grace) {
+            log::info!("event=peer-ahead topic=config peer={peer} version={own}");
+            self.state.later_config_at.send_replace(peer);
+        }
+    }
+
     fn apply_list(&self, topic: WatchTopic, batch: UpdateBatch) {
         let now = self.state.clock.now();
         let position = batch.position;
@@ -220,7 +259,9 @@
     fn apply_update(&self, update: FleetUpdate, position: SourcePosition) {
         let now = self.state.clock.now();
         match update {
-            FleetUpdate::Config(config) => self.apply_config(*config, position),
+            FleetUpdate::Config(config) => {
+                self.apply_config(*config, &format_args!("at={position}"));
+            }
             FleetUpdate::Endpoint(record, revision) => {
                 let id = record.id.clone();
                 let written_at = SourcePosition { era: position.era, revision };
@@ -272,18 +313,19 @@
         }
     }
 
-    fn apply_config(&self, config: ConfigRecord, position: SourcePosition) {
+    /// Applies a configuration if it is newer. `origin` says where it was read, for the log.
+    fn apply_config(&self, config: ConfigRecord, origin: &dyn Display) {
         let (version, limits) = (config.version, config.limits);
         let (routes, services) = (config.routes.len(), config.services.len());
         if !self.state.steering().apply_config(config) {
-            log::info!("event=config-ignored version={version} at={position} reason=not-newer");
+            log::info!("event=config-ignored version={version} {origin} reason=not-newer");
             return;
         }
         self.state.metrics.set_config_version(version);
         self.apply_limits(&limits);
         log::info!(
             "event=config-in-force version={version} routes={routes} services={services} \
-             at={position}"
+             {origin}"
         );
     }
 
--- a/crates/jackdawmux_front/src/relay/server.rs
+++ b/crates/jackdawmux_front/src/relay/server.rs
@@ -14,7 +14,9 @@
 use strum::IntoEnumIterator;
 use tokio::time::{Instant, timeout_at};
 
-use super::wire::{RelayQuery, RelayedBatch, UPDATES_PATH, encode_batch};
+use super::wire::{
+    CONFIG_PATH, RelayQuery, RelayedBatch, UPDATES_PATH, encode_batch, encode_config,
+};
 use crate::process::{FrontPhase, FrontState};
 
 /// Longest time for which a read is held.
@@ -22,7 +24,10 @@
 
 /// Router of the address for other instances.
 pub(crate) fn relay_router(state: Arc<FrontState>) -> Router {
-    Router::new().route(UPDATES_PATH, get(read_updates)).with_state(state)
+    Router::new()
+        .route(UPDATES_PATH, get(read_updates))
+        .route(CONFIG_PATH, get(read_config))
+        .with_state(state)
 }
 
 /// Replies with updates, with 204 if there are none, with 410 if they are no longer kept, or with
@@ -50,6 +55,22 @@
     }
 }
 
+/// Replies with the configuration in force, with 404 if there is none. Any instance may answer:
+/// versions only rise, so a reader never takes an older one.
+async fn read_config(State(state): State<Arc<FrontState>>) -> Response {
+    let table = state.steering().table().cloned();
+    let Some(table) = table else {
+        return StatusCode::NOT_FOUND.into_response();
+    };
+    match encode_config(table.config()) {
+        Ok(bytes) => Bytes::from(bytes).into_response(),
+        Err(error) => {
+            log::error!("event=config-unsent version={} error={error:?}", table.version());
+            StatusCode::INTERNAL_SERVER_ERROR.into_response()
+        }
+    }
+}
+
 /// Whether this instance reads the source itself and knows that the source answers.
 fn is_relay(state: &FrontState) -> bool {
     let times = RelayTimes::new(state.settings.bounds.update_deadline);
--- a/crates/jackdawmux_front/src/relay/source.rs
+++ b/crates/jackdawmux_front/src/relay/source.rs
@@ -285,7 +285,11 @@
     }
 }
 
-fn relay_error(step: &'static str, peer: &str, error: &dyn std::fmt::Display) -> SourceError {
+pub(super) fn relay_error(
+    step: &'static str,
+    peer: &str,
+    error: &dyn std::fmt::Display,
+) -> SourceError {
     let kind = SourceErrorKind::NoReply;
     SourceError { step, peer: peer.to_owned(), kind, reason: error.to_string() }
 }
--- a/crates/jackdawmux_front/src/relay/wire.rs
+++ b/crates/jackdawmux_front/src/relay/wire.rs
@@ -3,12 +3,15 @@
 use std::io;
 
 use jackdawmux_policy::fleet::position::SourcePosition;
+use jackdawmux_policy::fleet::record::ConfigRecord;
 use serde::{Deserialize, Serialize};
 
 use crate::source::FleetUpdate;
 
 /// Path of reads from a relay.
 pub(super) const UPDATES_PATH: &str = "/relay/updates";
+/// Path of the configuration in force.
+pub(super) const CONFIG_PATH: &str = "/relay/config";
 
 /// Read from a relay, as the query of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,3 +65,21 @@
 pub fn decode_batch(bytes: &[u8]) -> io::Result<RelayedBatch> {
     ciborium::from_reader(bytes).map_err(io::Error::other)
 }
+
+/// Encodes a configuration.
+///
+/// # Errors
+/// When it cannot be represented in CBOR.
+pub(super) fn encode_config(config: &ConfigRecord) -> io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(config, &mut bytes).map_err(io::Error::other)?;
+    Ok(bytes)
+}
+
+/// Decodes a configuration.
+///
+/// # Errors
+/// When the bytes are not an encoded configuration.
+pub(super) fn decode_config(bytes: &[u8]) -> io::Result<ConfigRecord> {
+    ciborium::from_reader(bytes).map_err(io::Error::other)
+}
--- a/crates/jackdawmux_front/tests/heartbeats.rs
+++ b/crates/jackdawmux_front/tests/heartbeats.rs
@@ -18,10 +18,11 @@
         source_connected_ms in any::<u64>(),
         crashes in prop::collection::vec(any::<(u64, u32)>(), 0..8),
         positions in any::<[(u64, u64); 4]>(),
+        config_version in any::<u64>(),
     ) {
         let newest_changes = positions.map(|(era, revision)| SourcePosition { era, revision });
         let crashes = crashes.into_iter().collect();
-        let heartbeat = Heartbeat { instance, is_serving, source_connected_ms, crashes, newest_changes };
+        let heartbeat = Heartbeat { instance, is_serving, source_connected_ms, crashes, newest_changes, config_version };
         let bytes = encode_heartbeat(&heartbeat).expect("the heartbeat is encoded");
         prop_assert!(bytes.len() <= 512, "{} bytes", bytes.len());
         prop_assert_eq!(decode_heartbeat(&bytes).expect("the heartbeat is decoded"), heartbeat);
@@ -42,6 +43,7 @@
             source_connected_ms: 1_000,
             crashes: std::iter::once((9, 1)).collect(),
             newest_changes: Default::default(),
+            config_version: 4,
         };
         let bytes = encode_heartbeat(&heartbeat).expect("the heartbeat is encoded");
         prop_assert!(decode_heartbeat(&bytes[..bytes.len() - cut.min(bytes.len())]).is_err());
--- a/crates/jackdawmux_policy/src/fleet/directory.rs
+++ b/crates/jackdawmux_policy/src/fleet/directory.rs
@@ -2,6 +2,7 @@
 //! which are leaving.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -182,6 +183,12 @@
         names
     }
 
+    /// Returns the address at which a registered instance receives heartbeats and reads.
+    #[must_use]
+    pub fn heartbeat_address(&self, name: &str) -> Option<SocketAddr> {
+        self.registered.get(name).map(|record| record.heartbeat_address)
+    }
+
     /// Returns the interval between heartbeats to one instance, which grows with the fleet.
     #[must_use]
     pub fn heartbeat_interval(&self) -> Duration {
--- a/crates/jackdawmux_policy/src/fleet/mod.rs
+++ b/crates/jackdawmux_policy/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub mod backoff;
 pub mod choice;
 pub mod cold_start;
+pub mod config_freshness;
 pub mod crash_record;
 pub mod directory;
 pub mod endpoint_state;
--- a/crates/jackdawmux_policy/src/fleet/routing.rs
+++ b/crates/jackdawmux_policy/src/fleet/routing.rs
@@ -8,8 +8,7 @@
 /// One version of the configuration, indexed for lookup.
 #[derive(Clone, Debug)]
 pub struct RouteTable {
-    version: u64,
-    limits: CallerLimits,
+    config: ConfigRecord,
     hosts: HashMap<String, Vec<Arc<RouteRecord>>>,
     services: HashMap<String, ServiceRecord>,
 }
@@ -19,28 +18,34 @@
     #[must_use]
     pub fn new(config: ConfigRecord) -> Self {
         let mut hosts: HashMap<String, Vec<Arc<RouteRecord>>> = HashMap::new();
-        for route in config.routes {
+        for route in &config.routes {
             let host = route.host.to_ascii_lowercase();
-            hosts.entry(host).or_default().push(Arc::new(route));
+            hosts.entry(host).or_default().push(Arc::new(route.clone()));
         }
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        let services =
-            config.services.into_iter().map(|service| (service.name.clone(), service)).collect();
-        Self { version: config.version, limits: config.limits, hosts, services }
+        let services = config.services.iter();
+        let services = services.map(|service| (service.name.clone(), service.clone())).collect();
+        Self { config, hosts, services }
     }
 
     /// Returns the version of the configuration.
     #[must_use]
     pub const fn version(&self) -> u64 {
-        self.version
+        self.config.version
     }
 
     /// Returns the limits on what callers may send.
     #[must_use]
     pub const fn limits(&self) -> &CallerLimits {
-        &self.limits
+        &self.config.limits
+    }
+
+    /// Returns the configuration as the operator wrote it.
+    #[must_use]
+    pub const fn config(&self) -> &ConfigRecord {
+        &self.config
     }
 
     /// Returns the operator's settings for a service.
