front, policy: keep to the limit that an endpoint states over all instances

Change: the limit is read at the head of every response (native dialect: jackdaw-limit) and kept by incarnation beside leaving and pauses (policy::fleet::notices). policy::fleet::endpoint_limit divides it: 4 senders and one more for each whole request a second, selected by rendezvous hashing, each at its share of 0.75 of the rate with a first turn that differs; the others probe, all together at a tenth of the rate and within 4 s of their turn, so that nothing accumulates. A share that is not due excludes the endpoint; its objects go to the next ones. If only limited endpoints are left the request is refused at once with the time to return. A limit ends with a response, to a request sent after the statement, that states none. Log: endpoint-limited, endpoint-unlimited. Ruled out: division by all registered instances (below one request an instance and window it starves or, with whole requests, breaks the limit at 118); shares that accumulate (a burst after a pause). Tests: limits::fronts_together_keep_to_the_limit..., red before (197 in 4 s, allowed 17), green; endpoint_limits: 7 fleets (1, 7, 118 instances, 0.4 to 22.5 a second) x in force, still used, burst after a pause; a limit of zero (red with a lowest rate of 0.05: probes came after 600 s; 0.2 now). Left: with more instances than senders an endpoint gets only what the senders and probes have demand for, and a probe hears late that a limit has ended (173 s at 118 instances and 3.2 a second).

--- a/crates/jackdawmux_front/src/dialect.rs
+++ b/crates/jackdawmux_front/src/dialect.rs
@@ -5,7 +5,8 @@
 
 use axum::http::header::RETRY_AFTER;
 use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
-use jackdawmux_policy::fleet::choice::LoadReport;
+use jackdawmux_policy::fleet::choice::{LimitStatement, LoadReport};
+use jackdawmux_policy::fleet::endpoint_limit::LimitRate;
 
 /// Values read from the headers of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -38,6 +39,8 @@
     pub is_leaving: bool,
     /// How long the endpoint wants no further requests from this instance.
     pub retry_after: Option<Duration>,
+    /// Requests per second that the endpoint takes from all instances together.
+    pub limit: LimitStatement,
 }
 
 /// Parameters of a lookup, which returns the addresses that a caller may connect to.
@@ -82,6 +85,22 @@
     retry_after
 }
 
+/// Reads the limit that an endpoint states in a header, as a decimal number of requests per second.
+#[must_use]
+pub fn read_limit(name: &HeaderName, headers: &HeaderMap) -> LimitStatement {
+    let Some(value) = headers.get(name) else {
+        return LimitStatement::Unlimited;
+    };
+    let rate = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    match rate.and_then(LimitRate::per_second) {
+        Some(rate) => LimitStatement::Limited(rate),
+        None => {
+            log::warn!("event=header-unread header={name} value={value:?}");
+            LimitStatement::Unknown
+        }
+    }
+}
+
 /// Parses the value of a `Retry-After` header of a response received at `now`: a number of seconds,
 /// which may have fractions, or a date.
 #[must_use]
--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use jackdawmux_policy::fleet::backoff::MAX_PAUSE;
 use jackdawmux_policy::fleet::choice::{
-    EndpointChoice, EndpointKey, EndpointNotice, EndpointQuery, NoticeEffect,
+    EndpointChoice, EndpointKey, EndpointNotice, EndpointQuery, LimitStatement, NoticeEffect,
 };
 use jackdawmux_policy::fleet::outlier::AttemptOutcome;
 use jackdawmux_policy::identity::stable_hash;
@@ -107,7 +107,7 @@
                 Ok(choice) => choice,
                 Err(chosen) if self.log_entry.attempt_count() == 0 => return Err(chosen),
                 Err(chosen) => {
-                    if chosen.is_paused() {
+                    if chosen.is_held_off() {
                         refusal = chosen;
                     }
                     break;
@@ -273,8 +273,17 @@
     /// Records what the endpoint states about itself. A response of another endpoint at the address
     /// says nothing about the chosen one.
     fn record_notice(&self, choice: &EndpointChoice, headers: &ResponseHeaders) {
-        let notice =
-            EndpointNotice { is_leaving: headers.is_leaving, retry_after: headers.retry_after };
+        let ResponseHeaders { is_leaving, retry_after, .. } = *headers;
+        let limit = match headers.limit {
+            // Only a response to a request that was sent after the statement shows that it has ended.
+            LimitStatement::Unlimited
+                if !choice.is_limited || headers.attempt != self.plan.attempt =>
+            {
+                LimitStatement::Unknown
+            }
+            limit => limit,
+        };
+        let notice = EndpointNotice { is_leaving, retry_after, limit };
         if headers.is_misdirected || notice == EndpointNotice::default() {
             return;
         }
@@ -291,6 +300,14 @@
                 requested.as_millis(),
                 requested > MAX_PAUSE
             ),
+            NoticeEffect::Limited(rate) => log::info!(
+                "event=endpoint-limited endpoint={} rate_per_s={}",
+                choice.id,
+                rate.as_per_second()
+            ),
+            NoticeEffect::Unlimited => {
+                log::info!("event=endpoint-unlimited endpoint={}", choice.id);
+            }
         }
     }
 
--- a/crates/jackdawmux_front/src/request/refusal.rs
+++ b/crates/jackdawmux_front/src/request/refusal.rs
@@ -92,8 +92,11 @@
     }
 
     /// Whether the endpoints that are left want no requests for some time.
-    pub(crate) const fn is_paused(self) -> bool {
-        matches!(self, Self::NotChosen(ChoiceRefusal { reason: ChoiceRefusalReason::Paused, .. }))
+    pub(crate) const fn is_held_off(self) -> bool {
+        let Self::NotChosen(ChoiceRefusal { reason, .. }) = self else {
+            return false;
+        };
+        matches!(reason, ChoiceRefusalReason::Paused | ChoiceRefusalReason::Limited)
     }
 
     /// Kind of the refusal, without the details of the decision.
--- a/crates/jackdawmux_native/src/dialect.rs
+++ b/crates/jackdawmux_native/src/dialect.rs
@@ -5,7 +5,9 @@
 
 use axum::http::StatusCode;
 use axum::http::header::{CONTENT_ENCODING, HeaderMap, HeaderName};
-use jackdawmux_front::dialect::{insert_attempt_headers, query_value, read_retry_after};
+use jackdawmux_front::dialect::{
+    insert_attempt_headers, query_value, read_limit, read_retry_after,
+};
 use jackdawmux_front::{LookupQuery, RequestHeaders, ResponseHeaders, WireDialect};
 use serde::Serialize;
 
@@ -20,6 +22,8 @@
 const OUTCOME: HeaderName = HeaderName::from_static("jackdaw-outcome");
 /// Outcome of a request that was not run.
 const NOT_RUN: &str = "not-run";
+/// Requests per second that an endpoint takes from all instances together.
+const LIMIT: HeaderName = HeaderName::from_static("jackdaw-limit");
 /// `1` in the responses of an upstream that is leaving and wants no further requests.
 const LEAVING: HeaderName = HeaderName::from_static("jackdaw-leaving");
 /// Upstream that should run the request.
@@ -65,6 +69,7 @@
             load: None,
             is_leaving: headers.get(LEAVING).is_some_and(|value| value == "1"),
             retry_after: read_retry_after(status, headers),
+            limit: read_limit(&LIMIT, headers),
         }
     }
 
--- a/crates/jackdawmux_policy/src/fleet/choice.rs
+++ b/crates/jackdawmux_policy/src/fleet/choice.rs
@@ -7,6 +7,7 @@
 
 use strum::Display;
 
+use super::endpoint_limit::LimitRate;
 use super::record::RouteRecord;
 use crate::identity::stable_hash;
 
@@ -33,6 +34,18 @@
     pub slots: u32,
 }
 
+/// What a response says about the limit of its endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LimitStatement {
+    /// Nothing that can be relied on.
+    #[default]
+    Unknown,
+    /// The endpoint states no limit.
+    Unlimited,
+    /// The endpoint takes this rate from all instances together.
+    Limited(LimitRate),
+}
+
 /// What the endpoint states about itself in a response, whatever the response is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EndpointNotice {
@@ -40,6 +53,8 @@
     pub is_leaving: bool,
     /// How long it wants no further requests from this instance.
     pub retry_after: Option<Duration>,
+    /// How many requests it takes.
+    pub limit: LimitStatement,
 }
 
 /// Consequence of a notice.
@@ -51,6 +66,10 @@
     Leaving,
     /// The endpoint gets no requests from this instance for this time.
     Paused(Duration),
+    /// The endpoint takes this rate from all instances together.
+    Limited(LimitRate),
+    /// The endpoint's limit has ended.
+    Unlimited,
 }
 
 /// Query for the endpoint of one attempt.
@@ -83,6 +102,8 @@
     pub rank: usize,
     /// Whether this instance's previous request for the object went to the same endpoint.
     pub is_warm: bool,
+    /// Whether the endpoint had stated a limit when it was chosen.
+    pub is_limited: bool,
 }
 
 /// Why no endpoint was chosen.
@@ -99,6 +120,8 @@
     RetryBudget,
     /// The usable endpoints want no further requests for some time.
     Paused,
+    /// This instance has used up its share of the limits that the usable endpoints state.
+    Limited,
 }
 
 /// Refusal of a query, with the delay after which a retry makes sense.
--- a/crates/jackdawmux_policy/src/fleet/cold_start.rs
+++ b/crates/jackdawmux_policy/src/fleet/cold_start.rs
@@ -4,9 +4,9 @@
 
 use smallvec::SmallVec;
 
+use super::affinity::sender_rank;
 use super::record::{FleetBounds, ServiceRecord};
 use crate::clock::PolicyTime;
-use crate::identity::{mix64, stable_hash};
 
 /// Maximum number of instances that send to one cold endpoint. Each may exceed its rate by one
 /// request in a second, which the slack of the limit must cover.
@@ -29,11 +29,7 @@
     service: &ServiceRecord,
     bounds: &FleetBounds,
 ) -> f64 {
-    let key = stable_hash(endpoint.as_bytes());
-    let score = |name: &str| mix64(key ^ stable_hash(name.as_bytes()));
-    let own_score = score(own);
-    let ahead = instances.iter().filter(|name| *name != own && score(name) > own_score).count();
-    if ahead >= MAX_SENDERS {
+    if sender_rank(endpoint, own, instances) >= MAX_SENDERS {
         return 0.0;
     }
     let senders = u32::try_from(instances.len().clamp(1, MAX_SENDERS)).unwrap_or(1);
--- a/crates/jackdawmux_policy/src/fleet/endpoint_state.rs
+++ b/crates/jackdawmux_policy/src/fleet/endpoint_state.rs
@@ -8,6 +8,7 @@
 
 use super::choice::EndpointKey;
 use super::cold_start::ColdRateLimiter;
+use super::endpoint_limit::LimitPacer;
 use super::notices::{EndpointIncarnation, StatedNotice};
 use super::outlier::{EjectionCause, OutlierState};
 use super::record::{EndpointPhase, EndpointRecord};
@@ -64,15 +65,12 @@
     pub(super) lapses_at: Option<PolicyTime>,
     /// What this incarnation stated in its responses.
     pub(super) stated: StatedNotice,
+    /// Paces the requests of this instance while the endpoint states a limit.
+    pub(super) pacer: Option<LimitPacer>,
 }
 
 impl EndpointState {
-    pub(super) fn new(
-        record: EndpointRecord,
-        region: usize,
-        now: PolicyTime,
-        stated: StatedNotice,
-    ) -> Self {
+    pub(super) fn new(record: EndpointRecord, region: usize, now: PolicyTime) -> Self {
         let key = EndpointKey::of(&record.id);
         let mut state = Self {
             id: Arc::from(record.id.as_str()),
@@ -86,7 +84,8 @@
             outlier: OutlierState::default(),
             cold_after_recovery: None,
             lapses_at: None,
-            stated,
+            stated: StatedNotice::default(),
+            pacer: None,
             record,
         };
         state.apply_cold_start(now);
@@ -97,6 +96,31 @@
         EndpointIncarnation { key: self.key, started_ms: self.record.started_ms }
     }
 
+    /// Applies what the incarnation has stated; `own` is this instance, one of `instances`.
+    pub(super) fn apply_notice(
+        &mut self,
+        now: PolicyTime,
+        stated: StatedNotice,
+        own: &str,
+        instances: &[String],
+    ) {
+        self.stated = stated;
+        match (stated.limit, &mut self.pacer) {
+            (None, pacer) => *pacer = None,
+            (Some(rate), Some(pacer)) => pacer.update(now, &self.id, own, instances, rate),
+            (Some(rate), pacer) => {
+                *pacer = Some(LimitPacer::new(now, &self.id, own, instances, rate));
+            }
+        }
+    }
+
+    /// Returns how long no request may be sent because the endpoint asked for a pause or states a
+    /// limit; zero if one may be sent now.
+    pub(super) fn hold_off(&self, now: PolicyTime) -> Duration {
+        let limited = self.pacer.map_or(Duration::ZERO, |pacer| pacer.wait(now));
+        self.stated.paused_until.since(now).max(limited)
+    }
+
     pub(super) fn apply_cold_start(&mut self, now: PolicyTime) {
         if !self.record.cold_left.is_zero() {
             self.become_cold(now, self.record.cold_left);
--- a/crates/jackdawmux_policy/src/fleet/mod.rs
+++ b/crates/jackdawmux_policy/src/fleet/mod.rs
@@ -1,7 +1,7 @@
 //! Routing decisions of a front for upstream endpoints that register themselves.
 //!
 //! All instances see the same endpoints and map an object to the same endpoint without
-//! coordination. Limits that apply to the whole fleet (retries, requests to a cold endpoint) are
+//! coordination. Limits that apply to the whole fleet (retries, requests to a cold or limited endpoint) are
 //! divided among the instances.
 
 pub mod affinity;
@@ -11,6 +11,7 @@
 pub mod config_freshness;
 pub mod crash_record;
 pub mod directory;
+pub mod endpoint_limit;
 pub mod endpoint_state;
 pub mod freshness;
 mod notices;
--- a/crates/jackdawmux_policy/src/fleet/notices.rs
+++ b/crates/jackdawmux_policy/src/fleet/notices.rs
@@ -7,7 +7,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::choice::EndpointKey;
+use super::choice::{EndpointKey, LimitStatement};
+use super::endpoint_limit::LimitRate;
 use crate::clock::PolicyTime;
 
 /// How long a statement is kept after it was last made. It exceeds the longest pause and the time
@@ -31,6 +32,8 @@
     pub(super) is_leaving: bool,
     /// Until when it wants no further requests from this instance.
     pub(super) paused_until: PolicyTime,
+    /// Requests that it takes from all instances together.
+    pub(super) limit: Option<LimitRate>,
     stated_at: PolicyTime,
 }
 
@@ -53,6 +56,7 @@
         incarnation: EndpointIncarnation,
         is_leaving: bool,
         pause: Option<Duration>,
+        limit: LimitStatement,
     ) -> StatedNotice {
         self.make_room(now, incarnation);
         let stated = self.notices.entry(incarnation).or_default();
@@ -60,10 +64,22 @@
         if let Some(pause) = pause {
             stated.paused_until = stated.paused_until.max(now + pause);
         }
+        match limit {
+            LimitStatement::Unknown => {}
+            LimitStatement::Unlimited => stated.limit = None,
+            LimitStatement::Limited(rate) => stated.limit = Some(rate),
+        }
         stated.stated_at = now;
         *stated
     }
 
+    /// Extends the retention of what an incarnation has stated.
+    pub(super) fn retain(&mut self, now: PolicyTime, incarnation: EndpointIncarnation) {
+        if let Some(stated) = self.notices.get_mut(&incarnation) {
+            stated.stated_at = now;
+        }
+    }
+
     /// Drops the statements whose retention is over.
     pub(super) fn prune(&mut self, now: PolicyTime) {
         self.notices.retain(|_, stated| now.since(stated.stated_at) < NOTICE_RETENTION);
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -162,8 +162,9 @@
         self.notices.prune(now);
         let mut removed = Vec::new();
         for service in self.services.values_mut() {
-            for state in service.endpoints.iter().filter(|state| state.stated.is_leaving) {
-                self.notices.record(now, state.incarnation(), true, None);
+            let stated = |state: &&EndpointState| state.stated.is_leaving || state.pacer.is_some();
+            for state in service.endpoints.iter().filter(stated) {
+                self.notices.retain(now, state.incarnation());
             }
             service.endpoints.retain(|state| {
                 let is_expired = state.lapses_at.is_some_and(|end| now >= end);
@@ -224,6 +225,10 @@
         let is_warm = self.recent.record(query.object, state.key);
         state.outlier.start_probe(now);
         state.in_flight += 1;
+        let is_limited = state.pacer.is_some();
+        if let Some(pacer) = &mut state.pacer {
+            pacer.record_sent(now);
+        }
         Ok(EndpointChoice {
             key: state.key,
             id: Arc::clone(&state.id),
@@ -231,6 +236,7 @@
             started_ms: state.record.started_ms,
             rank,
             is_warm,
+            is_limited,
         })
     }
 
@@ -284,19 +290,22 @@
         notice: EndpointNotice,
     ) -> NoticeEffect {
         let incarnation = EndpointIncarnation { key: choice.key, started_ms: choice.started_ms };
-        let was_leaving = self.notices.stated(incarnation).is_leaving;
+        let before = self.notices.stated(incarnation);
         let pause =
             notice.retry_after.map(|requested| endpoint_pause(requested, &self.own, choice.key));
-        let stated = self.notices.record(now, incarnation, notice.is_leaving, pause);
+        let stated = self.notices.record(now, incarnation, notice.is_leaving, pause, notice.limit);
         // A late response of an earlier incarnation says nothing about the present one.
         let endpoints = self.services.values_mut().flat_map(|service| &mut service.endpoints);
         for state in endpoints.filter(|state| state.incarnation() == incarnation) {
-            state.stated = stated;
+            state.apply_notice(now, stated, &self.own, &self.instances);
         }
-        if notice.is_leaving && !was_leaving {
-            return NoticeEffect::Leaving;
+        match (notice.retry_after, stated.limit) {
+            _ if notice.is_leaving && !before.is_leaving => NoticeEffect::Leaving,
+            (Some(requested), _) => NoticeEffect::Paused(requested),
+            (None, limit) if limit == before.limit => NoticeEffect::None,
+            (None, Some(rate)) => NoticeEffect::Limited(rate),
+            (None, None) => NoticeEffect::Unlimited,
         }
-        notice.retry_after.map_or(NoticeEffect::None, NoticeEffect::Paused)
     }
 
     /// Returns the crashes recorded by request.
@@ -349,7 +358,7 @@
             let is_allowed =
                 counts.is_allowed(state.outlier.ejection(now)) || state.outlier.is_probe_due(now);
             let is_excluded =
-                now < state.stated.paused_until || query.attempted.contains(&state.key);
+                !state.hold_off(now).is_zero() || query.attempted.contains(&state.key);
             if !is_allowed || is_excluded || !is_eligible(state) {
                 continue;
             }
@@ -366,28 +375,31 @@
     }
 
     /// Returns whether requests of a route may be sent to an endpoint, apart from its ejection and
-    /// the pause that it asked for.
+    /// the pause or limit that it stated.
     fn is_eligible(&self, now: PolicyTime, route: &RouteRecord, state: &EndpointState) -> bool {
         state.accepts_requests(now)
             && !self.evacuated.contains(&state.record.domain)
             && self.is_home(route, &state.record.domain)
     }
 
-    /// Returns the refusal if no endpoint may be chosen. If endpoints have asked for a pause, it
-    /// ends with the first of these pauses.
+    /// Returns the refusal if no endpoint may be chosen. If endpoints have asked for a pause or state
+    /// a limit, it ends when the first of them may get a request.
     fn refuse_without_candidates(
         &self,
         now: PolicyTime,
         query: &EndpointQuery<'_>,
     ) -> ChoiceRefusal {
         let endpoints = self.services.get(query.service).map(|service| &service.endpoints);
-        let pauses = endpoints
+        let held_off = endpoints
             .into_iter()
             .flatten()
-            .map(|state| (state, state.stated.paused_until))
-            .filter(|(state, end)| now < *end && self.is_eligible(now, query.route, state));
-        match pauses.map(|(_, end)| end.since(now)).min() {
-            Some(pause) => refuse(ChoiceRefusalReason::Paused, pause),
+            .map(|state| (state.hold_off(now), now < state.stated.paused_until, state))
+            .filter(|(wait, _, state)| {
+                !wait.is_zero() && self.is_eligible(now, query.route, state)
+            });
+        match held_off.min_by_key(|(wait, ..)| *wait) {
+            Some((wait, true, _)) => refuse(ChoiceRefusalReason::Paused, wait),
+            Some((wait, false, _)) => refuse(ChoiceRefusalReason::Limited, wait),
             None => refuse(ChoiceRefusalReason::NoEndpoint, NO_ENDPOINT_RETRY_AFTER),
         }
     }
--- a/crates/jackdawmux_policy/src/fleet/steering/registrations.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering/registrations.rs
@@ -112,7 +112,9 @@
             self.notices.stated(EndpointIncarnation { key, started_ms: record.started_ms });
         let service = self.services.entry(record.service.clone()).or_default();
         let Some(state) = service.endpoints.iter_mut().find(|state| state.key == key) else {
-            service.endpoints.push(EndpointState::new(record, region, now, stated));
+            let mut state = EndpointState::new(record, region, now);
+            state.apply_notice(now, stated, &self.own, &self.instances);
+            service.endpoints.push(state);
             return EndpointChange::Joined;
         };
         state.lapses_at = None;
@@ -122,7 +124,8 @@
         }
         if change == EndpointChange::Restarted || state.record.address != record.address {
             let in_flight = state.in_flight;
-            *state = EndpointState::new(record, region, now, stated);
+            *state = EndpointState::new(record, region, now);
+            state.apply_notice(now, stated, &self.own, &self.instances);
             state.in_flight = in_flight;
             return change;
         }
--- a/crates/jackdawmux_policy/tests/endpoint_notices.rs
+++ b/crates/jackdawmux_policy/tests/endpoint_notices.rs
@@ -11,21 +11,22 @@
 use jackdawmux_policy::fleet::backoff::{MAX_PAUSE, endpoint_pause};
 use jackdawmux_policy::fleet::choice::{
     ChoiceRefusal, ChoiceRefusalReason, EndpointChoice, EndpointKey, EndpointNotice, EndpointQuery,
-    NoticeEffect,
+    LimitStatement, NoticeEffect,
 };
 use jackdawmux_policy::fleet::outlier::AttemptOutcome;
 use jackdawmux_policy::fleet::record::EndpointRecord;
 use jackdawmux_policy::fleet::steering::FleetSteering;
 use proptest::prelude::*;
 
-const LEAVING: EndpointNotice = EndpointNotice { is_leaving: true, retry_after: None };
+const LEAVING: EndpointNotice =
+    EndpointNotice { is_leaving: true, retry_after: None, limit: LimitStatement::Unknown };
 
 fn at(millis: u64) -> PolicyTime {
     PolicyTime::from_millis(millis)
 }
 
 fn pause(millis: u64) -> EndpointNotice {
-    EndpointNotice { is_leaving: false, retry_after: Some(Duration::from_millis(millis)) }
+    EndpointNotice { retry_after: Some(Duration::from_millis(millis)), ..EndpointNotice::default() }
 }
 
 fn front(endpoints: u16) -> FleetSteering {
