front: late in a planned stop, requests that may outlast it are refused, not run

Cause: requests are accepted for 0.7 of the grace period and cut off at 0.93 of it. A request that arrives at 4.1 s of 6 s and whose endpoint takes 1.5 s ends after the cut at 5.58 s. Requests that arrive earlier are accepted as before. Ruled out: to refuse by deadline from the start of the stop (a request with a long deadline mostly ends within milliseconds); a later cut (the platform kills at 1.0, and the end of the process takes time).

--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -19,7 +19,7 @@
 use super::heartbeat;
 use super::lookup::{lookup_router, metrics_router, ready_router};
 use super::settings::FrontSettings;
-use super::state::{FrontPhase, FrontState};
+use super::state::{FrontPhase, FrontState, PlannedStop};
 use super::state_actor::{MaintenanceTick, SetBounds, StateActor};
 use super::watcher::TopicWatcher;
 use crate::dialect::WireDialect;
@@ -36,6 +36,9 @@
 /// Share of the grace period of a planned stop during which new requests are still accepted, for
 /// callers whose lookups are out of date.
 const ACCEPT_SHARE: f64 = 0.7;
+/// Share of the grace period after which a new request is accepted only if its deadline passes before
+/// requests in progress are cut off. Most requests that arrive earlier end in time.
+const LATE_SHARE: f64 = 0.5;
 /// Share of the grace period after which requests still in progress are cut off.
 const STOP_SHARE: f64 = 0.93;
 /// Heartbeats that announce a stop; several, because a datagram can be lost.
@@ -234,6 +237,11 @@
             state.settings.instance,
             grace.as_millis()
         );
+        let now = state.clock.now();
+        state.plan_stop(PlannedStop {
+            late_from: now + grace.mul_f64(LATE_SHARE),
+            cuts_at: now + grace.mul_f64(STOP_SHARE),
+        });
         state.enter_phase(FrontPhase::Leaving);
         // The readers of the group turn to another relay.
         state.relay.wake_readers();
--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -1,7 +1,7 @@
 //! State that the parts of a front share.
 
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use jackdawmux_policy::clock::PolicyTime;
@@ -38,6 +38,15 @@
     Leaving,
 }
 
+/// Times of a planned stop.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PlannedStop {
+    /// From when on a new request is accepted only if it ends in time.
+    pub(crate) late_from: PolicyTime,
+    /// When requests in progress are cut off.
+    pub(crate) cuts_at: PolicyTime,
+}
+
 /// State that exists for the lifetime of the process.
 #[derive(Debug)]
 pub struct FrontState {
@@ -67,6 +76,7 @@
     directory: Mutex<InstanceDirectory>,
     registered_at: Mutex<Option<SourcePosition>>,
     phase: AtomicU8,
+    stop: OnceLock<PlannedStop>,
 }
 
 impl FrontState {
@@ -103,6 +113,7 @@
             directory: Mutex::new(directory),
             registered_at: Mutex::default(),
             phase: AtomicU8::new(FrontPhase::Starting as u8),
+            stop: OnceLock::new(),
             settings,
         }
     }
@@ -164,6 +175,18 @@
         FrontPhase::from_repr(self.phase.load(Ordering::Relaxed)).unwrap_or(FrontPhase::Starting)
     }
 
+    /// Sets the times of a planned stop. Only the first call has an effect.
+    pub(crate) fn plan_stop(&self, stop: PlannedStop) {
+        let _first = self.stop.set(stop);
+    }
+
+    /// Whether a request that arrives now may still be in progress when the planned stop cuts off
+    /// the requests that are left.
+    pub(crate) fn may_be_cut(&self, deadline: PolicyTime) -> bool {
+        let now = self.clock.now();
+        self.stop.get().is_some_and(|stop| now >= stop.late_from && deadline > stop.cuts_at)
+    }
+
     /// Enters a phase. `FrontPhase::Leaving` is final: later calls have no effect.
     pub(crate) fn enter_phase(&self, phase: FrontPhase) {
         let before = self.phase();
--- a/crates/jackdawmux_front/src/request/refusal.rs
+++ b/crates/jackdawmux_front/src/request/refusal.rs
@@ -15,6 +15,8 @@
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry-after delay when no endpoint could be reached in time.
 const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(120);
+/// Retry-after delay while this process stops. Another instance can serve the request at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(5);
 /// Random extension of retry-after delays, as a share, so that callers do not retry all at once.
 const RETRY_AFTER_SPREAD: f64 = 0.5;
 
@@ -39,6 +41,8 @@
     Shed(Duration),
     /// No endpoint could be connected to; it was not run.
     Unreachable,
+    /// The process stops before the request's deadline; it was not run.
+    Stopping,
     /// The deadline passed before the request was sent to any endpoint.
     DeadlineUnsent,
     /// The deadline passed while an endpoint may have been processing the request.
@@ -66,6 +70,7 @@
             | Self::NotChosen(_)
             | Self::Shed(_)
             | Self::Unreachable
+            | Self::Stopping
             | Self::DeadlineUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -81,6 +86,7 @@
             Self::NoConfiguration => Some(STARTING_RETRY_AFTER),
             Self::NotChosen(refusal) => Some(refusal.retry_after),
             Self::Shed(retry_after) => Some(retry_after),
+            Self::Stopping => Some(STOPPING_RETRY_AFTER),
             Self::Unreachable | Self::DeadlineUnsent => Some(UNREACHABLE_RETRY_AFTER),
             Self::NoRoute
             | Self::BodyTooLarge
--- a/crates/jackdawmux_front/src/request/serve.rs
+++ b/crates/jackdawmux_front/src/request/serve.rs
@@ -97,6 +97,9 @@
     log_entry: &mut AccessLogEntry,
     sent: &SentFlag,
 ) -> Result<Response<Body>, FrontRefusal> {
+    if state.may_be_cut(plan.deadline) {
+        return Err(FrontRefusal::Stopping);
+    }
     let limit = plan.table.limits().max_body_bytes;
     let body = RequestBody::read(body, limit).await?;
     ForwardTask::new(state, plan, body, log_entry, sent).run().await
