front: a large response ends at its deadline even if the caller does not read

Cause: the deadline was checked only when the caller's connection asked for more of the body. Change: a task reads the response, one frame ahead of the caller. It stops at the deadline; data that the endpoint has already sent is passed on for 250 ms more. The body ends with an error unless the response was read to its end, so a response that was cut never looks complete.

--- a/crates/jackdawmux_front/src/request/body.rs
+++ b/crates/jackdawmux_front/src/request/body.rs
@@ -3,17 +3,12 @@
 use std::pin::Pin;
 use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use axum::body::Body;
 use bytes::{Bytes, BytesMut};
 use http_body::{Body as HttpBody, Frame};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::{Instant, Sleep, sleep_until};
-
-use super::guard::AttemptGuard;
-use crate::upstream::PooledConnection;
 
 /// Largest body that is buffered completely, in bytes. A buffered request can be sent again, and a
 /// buffered response never reaches the caller truncated.
@@ -180,66 +175,3 @@
     }
     Ok(ResponseBody::Buffered(buffered.freeze()))
 }
-
-/// A large response that is streamed to the caller; keeps the attempt and the connection open
-/// until its end.
-pub(crate) struct StreamedResponse {
-    prefix: Option<Bytes>,
-    incoming: Incoming,
-    attempt: Option<(AttemptGuard, PooledConnection)>,
-    deadline: Pin<Box<Sleep>>,
-}
-
-impl StreamedResponse {
-    pub(crate) fn new(
-        prefix: Bytes,
-        incoming: Incoming,
-        guard: AttemptGuard,
-        connection: PooledConnection,
-        time_left: Duration,
-    ) -> Self {
-        let deadline = Box::pin(sleep_until(Instant::now() + time_left));
-        Self { prefix: Some(prefix), incoming, attempt: Some((guard, connection)), deadline }
-    }
-
-    fn finish(&mut self) {
-        if let Some((guard, connection)) = self.attempt.take() {
-            guard.finish_answered(connection);
-        }
-    }
-}
-
-impl HttpBody for StreamedResponse {
-    type Data = Bytes;
-    type Error = axum::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
-        if let Some(prefix) = self.prefix.take() {
-            return Poll::Ready(Some(Ok(Frame::data(prefix))));
-        }
-        match Pin::new(&mut self.incoming).poll_frame(context) {
-            Poll::Ready(None) => {
-                self.finish();
-                Poll::Ready(None)
-            }
-            Poll::Ready(Some(Err(error))) => {
-                if let Some((guard, _connection)) = self.attempt.take() {
-                    guard.finish_lost();
-                }
-                Poll::Ready(Some(Err(axum::Error::new(error))))
-            }
-            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
-            Poll::Pending => {
-                if self.deadline.as_mut().poll(context).is_pending() {
-                    return Poll::Pending;
-                }
-                self.attempt = None;
-                let error = axum::Error::new("deadline passed before the end of the response");
-                Poll::Ready(Some(Err(error)))
-            }
-        }
-    }
-}
--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -18,10 +18,11 @@
 use smallvec::SmallVec;
 
 use super::access_log::AccessLogEntry;
-use super::body::{BodyError, RequestBody, ResponseBody, StreamedResponse, buffer_response};
+use super::body::{BodyError, RequestBody, ResponseBody, buffer_response};
 use super::guard::AttemptGuard;
 use super::plan::RequestPlan;
 use super::refusal::FrontRefusal;
+use super::streamed_response::{OpenResponse, stream_response};
 use crate::dialect::ResponseHeaders;
 use crate::process::FrontState;
 use crate::upstream::{Exchange, ExchangeOutcome, PooledConnection, exchange};
@@ -383,9 +384,9 @@
             }
             Ok(ResponseBody::Partial(prefix)) => {
                 self.log_entry.record_outcome("streaming");
-                let time_left = self.time_left();
-                let body = StreamedResponse::new(prefix, incoming, guard, connection, time_left);
-                AttemptResult::Final(Response::from_parts(head, Body::new(body)))
+                let deadline = self.state.clock.instant(self.plan.deadline);
+                let open = OpenResponse { prefix, incoming, guard, connection, deadline };
+                AttemptResult::Final(Response::from_parts(head, stream_response(open)))
             }
             Err(error) => {
                 log::debug!("event=answer-broken error={error:?}");
--- a/crates/jackdawmux_front/src/request/mod.rs
+++ b/crates/jackdawmux_front/src/request/mod.rs
@@ -7,5 +7,6 @@
 mod plan;
 mod refusal;
 mod serve;
+mod streamed_response;
 
 pub(crate) use serve::{front_router, read_ahead_filter};
