front, policy: a process that starts after a restore learns what ended before it

Callers would see: requests at an endpoint that had left, or in an evacuated failure domain, from a front that started while the source names an older copy. Cause: the facts that outlast the copy (tombstones, draining, evacuations, the time to settle) are in the memory of the instances that were running; a new one had only the copy. Change: a front whose source names an era above zero asks the peers that it hears from in its first ten seconds (/relay/restore, CBOR, every 500 ms until one answers) and adopts the endpoints that ended, the evacuations and the rest of the time to settle, if they belong to its era. No call without a restore. Log: restore-facts-adopted, -ignored, -unread. The reader of peers' configurations does both. Ruled out: facts in heartbeats (a datagram holds some 500 bytes); facts in the source (they would be lost with it).

--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -23,7 +23,7 @@
 use super::state_actor::{MaintenanceTick, SetBounds, StateActor};
 use super::watcher::TopicWatcher;
 use crate::dialect::WireDialect;
-use crate::relay::{ConfigReader, RelayedSource, relay_router};
+use crate::relay::{PeerReader, RelayedSource, relay_router};
 use crate::request::{front_router, read_ahead_filter};
 use crate::source::{FleetSource, WatchTopic};
 use jackdawmux_policy::fleet::record::InstanceRecord;
@@ -145,10 +145,10 @@
         };
         let hang_up = signal(SignalKind::hangup()).context(SignalsSnafu)?;
         let state_actor = StateActor::spawn(StateActor::new(Arc::clone(&state)));
-        let config_reader =
-            ConfigReader::open(Arc::clone(&state), state_actor.clone()).context(RelaySnafu)?;
+        let peer_reader =
+            PeerReader::open(Arc::clone(&state), state_actor.clone()).context(RelaySnafu)?;
         let mut tasks = JoinSet::new();
-        tasks.spawn(config_reader.run());
+        tasks.spawn(peer_reader.run());
         let mut timers = TimerService::default();
         for topic in WatchTopic::iter() {
             let watcher = TopicWatcher {
--- a/crates/jackdawmux_front/src/process/mod.rs
+++ b/crates/jackdawmux_front/src/process/mod.rs
@@ -15,4 +15,4 @@
 pub use launch::{FrontParts, FrontProcess};
 pub use settings::FrontSettings;
 pub use state::{FrontPhase, FrontState};
-pub(crate) use state_actor::{ApplyPeerConfig, StateActor};
+pub(crate) use state_actor::{AdoptRestoreFacts, ApplyPeerConfig, StateActor};
--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -70,6 +70,8 @@
     pub(crate) is_behind: [Notify; WatchTopic::COUNT],
     /// Name of the peer whose later configuration is to be read.
     pub(crate) later_config_at: watch::Sender<String>,
+    /// Name of the peer that is asked what it knows from before a restore of the source.
+    pub(crate) restore_facts_at: watch::Sender<String>,
     steering: Mutex<FleetSteering>,
     config_freshness: Mutex<ConfigFreshness>,
     freshness: Mutex<FreshnessTracker>,
@@ -107,6 +109,7 @@
             registration_lost: Notify::new(),
             is_behind: Default::default(),
             later_config_at: watch::Sender::default(),
+            restore_facts_at: watch::Sender::default(),
             steering: Mutex::new(steering),
             config_freshness: Mutex::default(),
             freshness: Mutex::default(),
--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -12,6 +12,7 @@
 use jackdawmux_policy::fleet::endpoint_state::EndpointChange;
 use jackdawmux_policy::fleet::record::{CallerLimits, ConfigRecord, FleetBounds, InstanceRecord};
 use jackdawmux_policy::fleet::relay::{ReadPath, RelayTimes};
+use jackdawmux_policy::fleet::restore::RestoreFacts;
 use jackdawmux_runtime::ListenerLimits;
 use kameo::Actor;
 use kameo::message::{Context, Message};
@@ -39,15 +40,23 @@
 /// update must be applied, before it is read from that peer.
 const CONFIG_GRACE_SHARE: f64 = 0.4;
 
+/// Time after the start of the process in which it asks its peers what they know from before a
+/// restore of the source. Objects have been written again by then.
+const RESTORE_FACTS_TIME: Duration = Duration::from_secs(10);
+/// Time between two peers that are asked.
+const RESTORE_FACTS_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The only task that applies updates to the fleet state.
 #[derive(Actor, Debug)]
 pub(crate) struct StateActor {
     state: Arc<FrontState>,
+    /// When a peer was last asked what it knows from before a restore.
+    restore_asked_at: Option<PolicyTime>,
 }
 
 impl StateActor {
     pub(crate) fn new(state: Arc<FrontState>) -> Self {
-        Self { state }
+        Self { state, restore_asked_at: None }
     }
 }
 
@@ -79,6 +88,14 @@
     pub(crate) peer: String,
 }
 
+/// What a peer knows from before a restore of the source.
+#[derive(Debug)]
+pub(crate) struct AdoptRestoreFacts {
+    pub(crate) facts: RestoreFacts,
+    /// Name of the peer.
+    pub(crate) peer: String,
+}
+
 /// Starts the periodic maintenance: removes lapsed endpoints and closes expired connections.
 #[derive(Debug)]
 pub(crate) struct MaintenanceTick;
@@ -144,6 +161,7 @@
         steering.crashes_mut().apply_peer_crashes(now, &heartbeat.instance, &heartbeat.crashes);
         let own = steering.table().map_or(0, |table| table.version());
         drop(steering);
+        self.request_restore_facts(now, &heartbeat.instance);
         let mut config_freshness = self.state.config_freshness();
         config_freshness.record_peer(now, own, &heartbeat.instance, heartbeat.config_version);
         drop(config_freshness);
@@ -164,6 +182,28 @@
     }
 }
 
+impl Message<AdoptRestoreFacts> for StateActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: AdoptRestoreFacts, _context: &mut Context<Self, ()>) {
+        let AdoptRestoreFacts { facts, peer } = message;
+        let now = self.state.clock.now();
+        let ended = self.state.steering().adopt_restore_facts(now, &facts);
+        let Some(ended) = ended else {
+            log::info!("event=restore-facts-ignored peer={peer} era={}", facts.era);
+            return;
+        };
+        ended.iter().for_each(|endpoint| self.state.pool.close_idle(*endpoint));
+        log::info!(
+            "event=restore-facts-adopted peer={peer} era={} ended={} unused={} evacuated={}",
+            facts.era,
+            facts.ended.len(),
+            ended.len(),
+            facts.evacuated.len()
+        );
+    }
+}
+
 impl Message<MaintenanceTick> for StateActor {
     type Reply = ();
 
@@ -201,6 +241,18 @@
 }
 
 impl StateActor {
+    /// Has a peer asked for what it knows from before a restore, while this process is new and the
+    /// source has ever been restored.
+    fn request_restore_facts(&mut self, now: PolicyTime, peer: &str) {
+        let is_new = now.since(PolicyTime::default()) < RESTORE_FACTS_TIME;
+        let is_due = self.restore_asked_at.is_none_or(|at| now.since(at) >= RESTORE_FACTS_INTERVAL);
+        let is_restored = self.state.connectivity.era() > 0;
+        if is_new && is_due && is_restored && !self.state.steering().is_settling(now) {
+            self.restore_asked_at = Some(now);
+            self.state.restore_facts_at.send_replace(peer.to_owned());
+        }
+    }
+
     /// Has the configuration of a peer read that has been ahead for a while.
     fn check_config(&self, now: PolicyTime) {
         let own = self.state.config_version();
--- a/crates/jackdawmux_front/src/relay/mod.rs
+++ b/crates/jackdawmux_front/src/relay/mod.rs
@@ -2,14 +2,14 @@
 //!
 //! `docs/design/0008-distribution.md` describes the alternatives.
 
-mod config_reader;
 mod hub;
+mod peer_reader;
 mod server;
 mod source;
 mod wire;
 
-pub(crate) use config_reader::ConfigReader;
 pub(crate) use hub::RelayHub;
+pub(crate) use peer_reader::PeerReader;
 pub(crate) use server::relay_router;
 pub use source::RelayedSource;
 pub use wire::{RelayedBatch, decode_batch, encode_batch};
--- a/crates/jackdawmux_front/src/relay/server.rs
+++ b/crates/jackdawmux_front/src/relay/server.rs
@@ -1,5 +1,6 @@
 //! Serves reads of other instances of the group.
 
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::wire::{
-    CONFIG_PATH, RelayQuery, RelayedBatch, UPDATES_PATH, encode_batch, encode_config,
+    CONFIG_PATH, RESTORE_PATH, RelayQuery, RelayedBatch, UPDATES_PATH, encode, encode_batch,
 };
 use crate::process::{FrontPhase, FrontState};
 
@@ -27,6 +28,7 @@
     Router::new()
         .route(UPDATES_PATH, get(read_updates))
         .route(CONFIG_PATH, get(read_config))
+        .route(RESTORE_PATH, get(read_restore_facts))
         .with_state(state)
 }
 
@@ -62,10 +64,24 @@
     let Some(table) = table else {
         return StatusCode::NOT_FOUND.into_response();
     };
-    match encode_config(table.config()) {
+    encoded_response("config", encode(table.config()))
+}
+
+/// Replies with what this instance knows from before a restore of the source, with 204 if objects are
+/// not being written again.
+async fn read_restore_facts(State(state): State<Arc<FrontState>>) -> Response {
+    let facts = state.steering().restore_facts(state.clock.now());
+    match facts {
+        Some(facts) => encoded_response("restore-facts", encode(&facts)),
+        None => StatusCode::NO_CONTENT.into_response(),
+    }
+}
+
+fn encoded_response(object: &str, encoded: io::Result<Vec<u8>>) -> Response {
+    match encoded {
         Ok(bytes) => Bytes::from(bytes).into_response(),
         Err(error) => {
-            log::error!("event=config-unsent version={} error={error:?}", table.version());
+            log::error!("event=relay-unsent object={object} error={error:?}");
             StatusCode::INTERNAL_SERVER_ERROR.into_response()
         }
     }
--- a/crates/jackdawmux_front/src/relay/wire.rs
+++ b/crates/jackdawmux_front/src/relay/wire.rs
@@ -3,7 +3,7 @@
 use std::io;
 
 use jackdawmux_policy::fleet::position::SourcePosition;
-use jackdawmux_policy::fleet::record::ConfigRecord;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::source::FleetUpdate;
@@ -12,6 +12,8 @@
 pub(super) const UPDATES_PATH: &str = "/relay/updates";
 /// Path of the configuration in force.
 pub(super) const CONFIG_PATH: &str = "/relay/config";
+/// Path of what is known from before a restore of the source.
+pub(super) const RESTORE_PATH: &str = "/relay/restore";
 
 /// Read from a relay, as the query of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -53,9 +55,7 @@
 /// # Errors
 /// When it cannot be represented in CBOR.
 pub fn encode_batch(batch: &RelayedBatch) -> io::Result<Vec<u8>> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(batch, &mut bytes).map_err(io::Error::other)?;
-    Ok(bytes)
+    encode(batch)
 }
 
 /// Decodes a reply.
@@ -63,23 +63,23 @@
 /// # Errors
 /// When the bytes are not an encoded reply.
 pub fn decode_batch(bytes: &[u8]) -> io::Result<RelayedBatch> {
-    ciborium::from_reader(bytes).map_err(io::Error::other)
+    decode(bytes)
 }
 
-/// Encodes a configuration.
+/// Encodes an object for another instance.
 ///
 /// # Errors
 /// When it cannot be represented in CBOR.
-pub(super) fn encode_config(config: &ConfigRecord) -> io::Result<Vec<u8>> {
+pub(super) fn encode(object: &impl Serialize) -> io::Result<Vec<u8>> {
     let mut bytes = Vec::new();
-    ciborium::into_writer(config, &mut bytes).map_err(io::Error::other)?;
+    ciborium::into_writer(object, &mut bytes).map_err(io::Error::other)?;
     Ok(bytes)
 }
 
-/// Decodes a configuration.
+/// Decodes an object of another instance.
 ///
 /// # Errors
-/// When the bytes are not an encoded configuration.
-pub(super) fn decode_config(bytes: &[u8]) -> io::Result<ConfigRecord> {
+/// When the bytes are not an encoded object of this type.
+pub(super) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> io::Result<T> {
     ciborium::from_reader(bytes).map_err(io::Error::other)
 }
--- a/crates/jackdawmux_policy/src/fleet/restore.rs
+++ b/crates/jackdawmux_policy/src/fleet/restore.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use strum::EnumCount;
 
 use super::choice::EndpointKey;
@@ -23,6 +24,19 @@
 /// Maximum number of removed endpoints that are remembered.
 const MAX_TOMBSTONES: usize = 8_192;
 
+/// What an instance knows from before a restore, for one that started after it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RestoreFacts {
+    /// Era that the restore began.
+    pub era: u64,
+    /// Time until objects have been written again, in milliseconds.
+    pub settles_in_ms: u64,
+    /// Endpoints that left or drain, by key, each with the start of its latest incarnation that did.
+    pub ended: Vec<(u64, u64)>,
+    /// Failure domains that are being evacuated.
+    pub evacuated: Vec<String>,
+}
+
 /// A removed endpoint.
 #[derive(Clone, Copy, Debug)]
 struct Tombstone {
@@ -36,7 +50,8 @@
 pub struct RestoreTracker {
     /// None before the first batch: a process that starts has no facts to keep.
     era: Option<u64>,
-    restored_at: Option<PolicyTime>,
+    /// When the objects have been written again after the latest restore.
+    settles_at: Option<PolicyTime>,
     /// Revision of the first full list of each topic in the current era. Objects up to it may come
     /// from the copy.
     floors: [Option<u64>; WatchTopic::COUNT],
@@ -55,7 +70,7 @@
         let is_new_era = position.era > known;
         if is_new_era {
             self.era = Some(position.era);
-            self.restored_at = Some(now);
+            self.settles_at = Some(now + SETTLE_TIME);
             self.floors = [None; WatchTopic::COUNT];
         }
         self.floors[topic as usize].get_or_insert(position.revision);
@@ -71,15 +86,15 @@
     /// Returns whether objects may still be written again after a restore.
     #[must_use]
     pub fn is_settling(&self, now: PolicyTime) -> bool {
-        self.restored_at.is_some_and(|at| now.since(at) < SETTLE_TIME)
+        self.settles_at.is_some_and(|at| now < at)
     }
 
     /// Returns `true` once after each restore, when the time to write objects again has passed. The
     /// full lists then hold.
     pub fn take_settled(&mut self, now: PolicyTime) -> bool {
-        let is_settled = self.restored_at.is_some() && !self.is_settling(now);
+        let is_settled = self.settles_at.is_some() && !self.is_settling(now);
         if is_settled {
-            self.restored_at = None;
+            self.settles_at = None;
         }
         is_settled
     }
@@ -100,16 +115,47 @@
     /// replace that of a later one.
     pub fn record_removed(&mut self, now: PolicyTime, record: &EndpointRecord) {
         self.prune(now);
-        let key = EndpointKey::of(&record.id);
+        self.record_ended(now, EndpointKey::of(&record.id), record.started_ms);
+    }
+
+    fn record_ended(&mut self, now: PolicyTime, key: EndpointKey, started_ms: u64) {
         if self.tombstones.len() >= MAX_TOMBSTONES && !self.tombstones.contains_key(&key) {
             return;
         }
         let tombstone =
             self.tombstones.entry(key).or_insert(Tombstone { started_ms: 0, removed_at: now });
-        tombstone.started_ms = tombstone.started_ms.max(record.started_ms);
+        tombstone.started_ms = tombstone.started_ms.max(started_ms);
         tombstone.removed_at = now;
     }
 
+    /// Returns the era, the time until objects have been written again and the endpoints that were
+    /// removed; none if objects are not being written again.
+    #[must_use]
+    pub fn facts(&self, now: PolicyTime) -> Option<RestoreFacts> {
+        let settles_in = self.settles_at?.since(now);
+        let is_kept = |tombstone: &Tombstone| now.since(tombstone.removed_at) < TOMBSTONE_RETENTION;
+        let ended = self.tombstones.iter().filter(|(_, tombstone)| is_kept(tombstone));
+        (!settles_in.is_zero()).then(|| RestoreFacts {
+            era: self.era.unwrap_or_default(),
+            settles_in_ms: u64::try_from(settles_in.as_millis()).unwrap_or(u64::MAX),
+            ended: ended.map(|(key, tombstone)| (key.0, tombstone.started_ms)).collect(),
+            evacuated: Vec::new(),
+        })
+    }
+
+    /// Adopts the facts of a peer, unless they belong to another era.
+    pub fn adopt(&mut self, now: PolicyTime, facts: &RestoreFacts) -> bool {
+        if self.era != Some(facts.era) {
+            return false;
+        }
+        let settles_in = Duration::from_millis(facts.settles_in_ms).min(SETTLE_TIME);
+        self.settles_at = self.settles_at.max(Some(now + settles_in));
+        for (key, started_ms) in &facts.ended {
+            self.record_ended(now, EndpointKey(*key), *started_ms);
+        }
+        true
+    }
+
     /// Returns whether an incarnation of an endpoint was removed, or an incarnation after it.
     #[must_use]
     pub fn is_removed(&self, now: PolicyTime, record: &EndpointRecord) -> bool {
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -5,6 +5,7 @@
 //! preference order only if the preferred one is full, cold, failing or leaving.
 
 mod registrations;
+mod restore_facts;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
