front: heartbeats of earlier and later releases are decoded (test)

The test shows that four and five elements are read, and that further ones are passed over, so instances of two releases can run side by side.

--- a/crates/jackdawmux_front/tests/heartbeats.rs
+++ b/crates/jackdawmux_front/tests/heartbeats.rs
@@ -28,6 +28,28 @@
         prop_assert_eq!(decode_heartbeat(&bytes).expect("the heartbeat is decoded"), heartbeat);
     }
 
+    /// Guards against a fleet that falls apart while it is updated: earlier releases send fewer
+    /// elements, later ones more.
+    #[test]
+    fn heartbeats_of_other_releases_are_decoded(instance in "[a-z0-9-]{1,60}", revision in any::<u64>()) {
+        let crashes: Vec<(u64, u32)> = Vec::new();
+        let positions = [(0_u64, revision); 4];
+        let mut four = Vec::new();
+        let fields = (&instance, true, 7_u64, &crashes);
+        ciborium::into_writer(&fields, &mut four).expect("the heartbeat is encoded");
+        let mut five = Vec::new();
+        let fields = (&instance, true, 7_u64, &crashes, positions);
+        ciborium::into_writer(&fields, &mut five).expect("the heartbeat is encoded");
+        let mut seven = Vec::new();
+        let fields = (&instance, true, 7_u64, &crashes, positions, 0_u64, "later");
+        ciborium::into_writer(&fields, &mut seven).expect("the heartbeat is encoded");
+        for (bytes, expected) in [(four, 0), (five, revision), (seven, revision)] {
+            let heartbeat = decode_heartbeat(&bytes).expect("the heartbeat is decoded");
+            prop_assert_eq!(heartbeat.newest_changes[0].revision, expected);
+            prop_assert_eq!(heartbeat.config_version, 0);
+        }
+    }
+
     #[test]
     fn arbitrary_bytes_decode_to_an_error_or_a_heartbeat(bytes in prop::collection::vec(any::<u8>(), 0..512)) {
         if let Ok(heartbeat) = decode_heartbeat(&bytes) {
