--- a/crates/jackdawmux_policy/src/fleet/endpoint_limit.rs
+++ b/crates/jackdawmux_policy/src/fleet/endpoint_limit.rs
@@ -11,6 +11,21 @@
 use crate::clock::PolicyTime;
 use crate::identity::{mix64, stable_hash};
 
+/// Highest rate that is told apart, in requests per second.
+const MAX_RATE: f64 = 1e6;
+/// Lowest rate that is sent, in requests per second over all instances. An endpoint that gets no
+/// request at all could not state that its limit has changed.
+const MIN_RATE: f64 = 0.2;
+/// Fraction of the stated rate that the senders use.
+const SENDER_MARGIN: f64 = 0.75;
+/// Fraction of the stated rate that all probes together use.
+const PROBE_SHARE: f64 = 0.1;
+/// Number of senders in addition to one for each request per second of the rate.
+const MIN_SENDERS: usize = 4;
+/// Time for which a probe that is due may be sent. Without it, all probes that fell due while there
+/// was no demand would be sent at the same moment.
+const PROBE_WINDOW: Duration = Duration::from_secs(4);
+
 /// Rate of an endpoint's limit, in thousandths of a request per second.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LimitRate(u64);
@@ -35,21 +50,6 @@
     }
 }
 
-/// Highest rate that is told apart, in requests per second.
-const MAX_RATE: f64 = 1e6;
-/// Lowest rate that is sent, in requests per second over all instances. An endpoint that gets no
-/// request at all could not state that its limit has changed.
-const MIN_RATE: f64 = 0.2;
-/// Fraction of the stated rate that the senders use.
-const SENDER_MARGIN: f64 = 0.75;
-/// Fraction of the stated rate that all probes together use.
-const PROBE_SHARE: f64 = 0.1;
-/// Number of senders in addition to one for each request per second of the rate.
-const MIN_SENDERS: usize = 4;
-/// Time for which a probe that is due may be sent. Without it, all probes that fell due while there
-/// was no demand would be sent at the same moment.
-const PROBE_WINDOW: Duration = Duration::from_secs(4);
-
 /// When an instance may send to a limited endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct LimitShare {
