front, policy: an instance that reaches no endpoint says so and is left out of lookups

Phase, readiness, heartbeats and lookups depend on registration and the source; nothing looked at the endpoints as a whole. Class of fault: health that is judged by the path to the control plane only.

Change: failures to connect at two endpoints with no connection opened in between start a round of probes, at most four connections to endpoints of different failure domains; if none opens, the instance is isolated. It says so in its heartbeats (a seventh element; earlier releases pass it over), and lookups leave it out unless all are isolated. Probes every 500 ms notice the end; 1.2 s later, when registrations of endpoints that have restarted meanwhile have arrived, it counts as reachable again. Log lines isolation-started, endpoints-reached-again, isolation-ended; gauge jackdawmux_isolated. A loss of one failure domain or of single endpoints is told apart by the probes, as open connections elsewhere are.

The heartbeat test for later releases now sends an eighth element, as the seventh has a meaning.

--- a/crates/jackdawmux_front/src/process/heartbeat.rs
+++ b/crates/jackdawmux_front/src/process/heartbeat.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use strum::EnumCount;
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::state::{FrontPhase, FrontState};
 use super::state_actor::{HeartbeatReceived, StateActor};
@@ -27,7 +27,7 @@
 /// crashes.
 const MAX_HEARTBEAT_BYTES: usize = 512;
 /// Elements of an encoded heartbeat.
-const HEARTBEAT_ELEMENTS: usize = 6;
+const HEARTBEAT_ELEMENTS: usize = 7;
 
 /// State that an instance sends to the others at regular intervals.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -47,6 +47,8 @@
     /// Version of the configuration in force at the sender; zero if there is none or the sender does
     /// not state it.
     pub config_version: u64,
+    /// Whether it reaches no endpoint; false from a sender that does not state it.
+    pub is_isolated: bool,
 }
 
 impl Serialize for Heartbeat {
@@ -59,6 +61,7 @@
         tuple
             .serialize_element(&self.newest_changes.map(|change| (change.era, change.revision)))?;
         tuple.serialize_element(&self.config_version)?;
+        tuple.serialize_element(&self.is_isolated)?;
         tuple.end()
     }
 }
@@ -75,7 +78,7 @@
     type Value = Heartbeat;
 
     fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("a heartbeat of four to six elements")
+        formatter.write_str("a heartbeat of four to seven elements")
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut elements: A) -> Result<Heartbeat, A::Error> {
@@ -84,11 +87,12 @@
         let is_serving = elements.next_element()?.ok_or_else(|| missing(1))?;
         let source_connected_ms = elements.next_element()?.ok_or_else(|| missing(2))?;
         let crashes = elements.next_element()?.ok_or_else(|| missing(3))?;
-        // Instances of earlier releases send four or five elements.
+        // Instances of earlier releases send four to six elements.
         let positions: [(u64, u64); WatchTopic::COUNT] =
             elements.next_element()?.unwrap_or_default();
         let newest_changes = positions.map(|(era, revision)| SourcePosition { era, revision });
         let config_version = elements.next_element()?.unwrap_or_default();
+        let is_isolated = elements.next_element()?.unwrap_or_default();
         Ok(Heartbeat {
             instance,
             is_serving,
@@ -96,6 +100,7 @@
             crashes,
             newest_changes,
             config_version,
+            is_isolated,
         })
     }
 }
@@ -122,14 +127,19 @@
 pub(crate) async fn send_heartbeats(state: &FrontState, socket: &UdpSocket) {
     let connected = state.connectivity.connected_for();
     let config_version = state.config_version();
+    let (crashes, is_isolated) = {
+        let steering = state.steering();
+        (steering.crashes().shared(state.clock.now()), steering.reachability().is_isolated())
+    };
     let heartbeat = Heartbeat {
         instance: state.settings.instance.clone(),
         is_serving: state.phase() == FrontPhase::Serving,
-        crashes: state.steering().crashes().shared(state.clock.now()),
+        crashes,
         source_connected_ms: connected
             .map_or(0, |span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX)),
         newest_changes: state.freshness().applied(),
         config_version,
+        is_isolated,
     };
     let bytes = match encode_heartbeat(&heartbeat) {
         Ok(bytes) => bytes,
@@ -153,7 +163,9 @@
     loop {
         send_heartbeats(&state, &socket).await;
         let interval = state.directory().heartbeat_interval();
-        sleep(interval.mul_f64(rand::random_range(0.9..1.1))).await;
+        let interval = interval.mul_f64(rand::random_range(0.9..1.1));
+        // Peers must learn at once that this instance has become isolated, or no longer is.
+        let _elapsed = timeout(interval, state.heartbeat_due.notified()).await;
     }
 }
 
--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::connectivity::CHECK_INTERVAL;
+use super::endpoint_probe::probe_endpoints;
 use super::error::{BindSnafu, FrontError, MetricsSnafu, RelaySnafu, SignalsSnafu};
 use super::heartbeat;
 use super::lookup::{lookup_router, metrics_router, ready_router};
@@ -166,6 +167,7 @@
         tasks.spawn(
             async move { connectivity.check_periodically(checked.as_ref(), interval).await },
         );
+        tasks.spawn(probe_endpoints(Arc::clone(&state)));
         tasks.spawn(heartbeat::receive_heartbeats(Arc::clone(&socket), state_actor.clone()));
         tasks.spawn(heartbeat::send_periodically(Arc::clone(&state), Arc::clone(&socket)));
         let record = InstanceRecord {
--- a/crates/jackdawmux_front/src/process/mod.rs
+++ b/crates/jackdawmux_front/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! State and tasks whose lifetime is that of the process.
 
 mod connectivity;
+mod endpoint_probe;
 mod error;
 mod heartbeat;
 mod launch;
--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -68,6 +68,10 @@
     pub(crate) registration_lost: Notify,
     /// Notified when a peer has applied an update of a topic that this instance has not.
     pub(crate) is_behind: [Notify; WatchTopic::COUNT],
+    /// Notified when a round of probes of the endpoints may be due.
+    pub(crate) probe_due: Notify,
+    /// Notified when the peers are to receive a heartbeat before the next regular one.
+    pub(crate) heartbeat_due: Notify,
     /// Name of the peer whose later configuration is to be read.
     pub(crate) later_config_at: watch::Sender<String>,
     /// Name of the peer that is asked what it knows from before a restore of the source.
@@ -108,6 +112,8 @@
             bypasses_relay: Default::default(),
             registration_lost: Notify::new(),
             is_behind: Default::default(),
+            probe_due: Notify::new(),
+            heartbeat_due: Notify::new(),
             later_config_at: watch::Sender::default(),
             restore_facts_at: watch::Sender::default(),
             steering: Mutex::new(steering),
--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -128,6 +128,7 @@
             heartbeat.is_serving,
             is_connected,
         );
+        self.state.directory().set_isolated(&heartbeat.instance, heartbeat.is_isolated);
         let connected = Duration::from_millis(heartbeat.source_connected_ms);
         let mut steering = self.state.steering();
         steering.record_peer_source_connection(now, connected);
@@ -156,6 +157,7 @@
             self.state.pool.close_idle(EndpointKey::of(&id));
         }
         self.state.pool.close_expired();
+        self.state.check_reachability(now);
         if self.state.steering().take_settled(now) {
             log::info!("event=restore-settled");
             self.state.is_behind.iter().for_each(Notify::notify_one);
--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -227,7 +227,13 @@
             is_at_most_once: self.plan.is_at_most_once(),
             time_left: self.time_left(),
         };
-        match exchange(target, request, || self.sent.set(true)).await {
+        let on_send = |is_new| {
+            self.sent.set(true);
+            if is_new {
+                self.state.record_connected();
+            }
+        };
+        match exchange(target, request, on_send).await {
             ExchangeOutcome::Unreachable { is_unresponsive, error } => {
                 log::debug!("event=upstream-unreachable peer={} error={error:?}", choice.address);
                 self.log_entry.record_outcome(if is_unresponsive {
--- a/crates/jackdawmux_front/src/request/guard.rs
+++ b/crates/jackdawmux_front/src/request/guard.rs
@@ -74,6 +74,9 @@
         let now = self.state.clock.now();
         let mut steering = self.state.steering();
         let is_ejected = steering.finish(now, &self.service, self.endpoint, outcome, self.load);
+        if matches!(outcome, AttemptOutcome::Unreachable | AttemptOutcome::Silent) {
+            self.state.probe_due.notify_one();
+        }
         if is_ejected {
             let behaviour = steering.behaviour(&self.service, self.endpoint);
             let (id, failures, latency_ms) = behaviour.unwrap_or_default();
--- a/crates/jackdawmux_front/src/upstream/exchange.rs
+++ b/crates/jackdawmux_front/src/upstream/exchange.rs
@@ -52,11 +52,11 @@
 }
 
 /// Sends a request and waits for the head of its response. `on_send` is called before the first
-/// byte may be sent.
+/// byte may be sent, with whether the connection was opened for the request.
 pub(crate) async fn exchange(
     target: Exchange<'_>,
     request: Request<Body>,
-    on_send: impl Fn(),
+    on_send: impl Fn(bool),
 ) -> ExchangeOutcome {
     let mut request = request;
     for attempt in 0..=MAX_STALE_CONNECTIONS {
@@ -72,7 +72,7 @@
                 }
             },
         };
-        on_send();
+        on_send(!connection.is_reused);
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 connection.read_keep_alive(response.headers());
--- a/crates/jackdawmux_front/tests/heartbeats.rs
+++ b/crates/jackdawmux_front/tests/heartbeats.rs
@@ -19,10 +19,11 @@
         crashes in prop::collection::vec(any::<(u64, u32)>(), 0..8),
         positions in any::<[(u64, u64); 4]>(),
         config_version in any::<u64>(),
+        is_isolated in any::<bool>(),
     ) {
         let newest_changes = positions.map(|(era, revision)| SourcePosition { era, revision });
         let crashes = crashes.into_iter().collect();
-        let heartbeat = Heartbeat { instance, is_serving, source_connected_ms, crashes, newest_changes, config_version };
+        let heartbeat = Heartbeat { instance, is_serving, source_connected_ms, crashes, newest_changes, config_version, is_isolated };
         let bytes = encode_heartbeat(&heartbeat).expect("the heartbeat is encoded");
         prop_assert!(bytes.len() <= 512, "{} bytes", bytes.len());
         prop_assert_eq!(decode_heartbeat(&bytes).expect("the heartbeat is decoded"), heartbeat);
@@ -40,13 +41,17 @@
         let mut five = Vec::new();
         let fields = (&instance, true, 7_u64, &crashes, positions);
         ciborium::into_writer(&fields, &mut five).expect("the heartbeat is encoded");
-        let mut seven = Vec::new();
-        let fields = (&instance, true, 7_u64, &crashes, positions, 0_u64, "later");
-        ciborium::into_writer(&fields, &mut seven).expect("the heartbeat is encoded");
-        for (bytes, expected) in [(four, 0), (five, revision), (seven, revision)] {
+        let mut six = Vec::new();
+        let fields = (&instance, true, 7_u64, &crashes, positions, 0_u64);
+        ciborium::into_writer(&fields, &mut six).expect("the heartbeat is encoded");
+        let mut eight = Vec::new();
+        let fields = (&instance, true, 7_u64, &crashes, positions, 0_u64, false, "later");
+        ciborium::into_writer(&fields, &mut eight).expect("the heartbeat is encoded");
+        for (bytes, expected) in [(four, 0), (five, revision), (six, revision), (eight, revision)] {
             let heartbeat = decode_heartbeat(&bytes).expect("the heartbeat is decoded");
             prop_assert_eq!(heartbeat.newest_changes[0].revision, expected);
             prop_assert_eq!(heartbeat.config_version, 0);
+            prop_assert!(!heartbeat.is_isolated);
         }
     }
 
@@ -66,6 +71,7 @@
             crashes: std::iter::once((9, 1)).collect(),
             newest_changes: Default::default(),
             config_version: 4,
+            is_isolated: false,
         };
         let bytes = encode_heartbeat(&heartbeat).expect("the heartbeat is encoded");
         prop_assert!(decode_heartbeat(&bytes[..bytes.len() - cut.min(bytes.len())]).is_err());
--- a/crates/jackdawmux_policy/src/fleet/directory.rs
+++ b/crates/jackdawmux_policy/src/fleet/directory.rs
@@ -1,7 +1,7 @@
 //! Directory of the instances of this system: which are registered, which send heartbeats, and
 //! which are leaving.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,6 +39,8 @@
     pub record: &'view InstanceRecord,
     /// Region of the instance's failure domain; empty if the failure domain is unknown.
     pub region: &'view str,
+    /// Whether the instance has stated that it reaches no endpoint.
+    pub is_isolated: bool,
 }
 
 /// State reported by the latest heartbeat of an instance.
@@ -60,6 +62,8 @@
     regions: Arc<BTreeMap<String, String>>,
     registered: BTreeMap<String, InstanceRecord>,
     heartbeats: HashMap<String, HeartbeatState>,
+    /// Instances, possibly this one, that reach no endpoint.
+    isolated: HashSet<String>,
     /// When each registration was first seen, for instances that have never sent a heartbeat.
     first_seen: HashMap<String, PolicyTime>,
     is_serving: bool,
@@ -74,6 +78,7 @@
             regions,
             registered: BTreeMap::new(),
             heartbeats: HashMap::new(),
+            isolated: HashSet::new(),
             first_seen: HashMap::new(),
             is_serving: false,
         }
@@ -84,6 +89,15 @@
         self.is_serving = is_serving;
     }
 
+    /// Sets whether an instance, possibly this one, reaches no endpoint.
+    pub fn set_isolated(&mut self, name: &str, is_isolated: bool) {
+        if is_isolated {
+            self.isolated.insert(name.to_owned());
+        } else {
+            self.isolated.remove(name);
+        }
+    }
+
     /// Adds or replaces the registration of an instance.
     pub fn register(&mut self, record: InstanceRecord) {
         self.registered.insert(record.name.clone(), record);
@@ -93,6 +107,7 @@
     pub fn withdraw(&mut self, name: &str) {
         self.registered.remove(name);
         self.heartbeats.remove(name);
+        self.isolated.remove(name);
     }
 
     /// Replaces all registrations by a complete list. `keeps_missing` is set after a restore of the
@@ -104,6 +119,7 @@
         let named = records.into_iter().map(|record| (record.name.clone(), record));
         self.registered.extend(named);
         self.heartbeats.retain(|name, _| self.registered.contains_key(name));
+        self.isolated.retain(|name| *name == self.own || self.registered.contains_key(name));
     }
 
     /// Records a heartbeat of an instance, whether that instance serves callers and whether the source
@@ -299,7 +315,11 @@
                     heartbeat.is_serving && now.since(heartbeat.at) <= timeout
                 })
             })
-            .map(|record| InstanceView { record, region: self.region_of(&record.domain) })
+            .map(|record| InstanceView {
+                record,
+                region: self.region_of(&record.domain),
+                is_isolated: self.isolated.contains(&record.name),
+            })
             .collect()
     }
 
--- a/crates/jackdawmux_policy/src/fleet/mod.rs
+++ b/crates/jackdawmux_policy/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 pub mod outlier;
 pub mod placement;
 pub mod position;
+pub mod reachability;
 pub mod record;
 pub mod region_share;
 pub mod relay;
--- a/crates/jackdawmux_policy/src/fleet/placement.rs
+++ b/crates/jackdawmux_policy/src/fleet/placement.rs
@@ -14,7 +14,8 @@
 pub const MAX_LOOKUP_INSTANCES: usize = 64;
 
 /// Selects the instances that a lookup returns: those of the caller's region, or all instances if
-/// none of that region is live. Some lookups return only the instances of highest capacity, so that
+/// none of that region is live. Instances that reach no endpoint are left out, unless that is so for
+/// all: then the endpoints themselves are down, or no instance would serve better than another. Some lookups return only the instances of highest capacity, so that
 /// callers, which choose at random among the returned instances, load each in proportion to its
 /// capacity. `draw` is a random number uniform in `0..1`.
 #[must_use]
@@ -23,8 +24,16 @@
     region: &str,
     draw: f64,
 ) -> SmallVec<[InstanceView<'view>; 8]> {
+    let is_local = |instance: &&InstanceView<'_>| instance.region == region;
+    let is_reachable = |instance: &&InstanceView<'_>| !instance.is_isolated;
     let mut selected: SmallVec<[InstanceView<'view>; 8]> =
-        live.iter().filter(|instance| instance.region == region).copied().collect();
+        live.iter().filter(is_local).filter(is_reachable).copied().collect();
+    if selected.is_empty() {
+        selected = live.iter().filter(is_reachable).copied().collect();
+    }
+    if selected.is_empty() {
+        selected = live.iter().filter(is_local).copied().collect();
+    }
     if selected.is_empty() {
         selected = live.iter().copied().collect();
     }
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -4,6 +4,7 @@
 //! recently needs only a fraction of the time. A request goes to the next endpoint in the object's
 //! preference order only if the preferred one is full, cold, failing or leaving.
 
+mod isolation;
 mod registrations;
 mod restore_facts;
 
@@ -24,6 +25,7 @@
 use super::endpoint_state::{EjectionCounts, EndpointState, RecentObjects, typical_latency};
 use super::notices::{EndpointIncarnation, NoticeRegister};
 use super::outlier::AttemptOutcome;
+use super::reachability::ReachabilityTracker;
 use super::record::{ConfigRecord, FleetBounds, RouteRecord, ServiceRecord};
 use super::region_share::{RegionShares, region_shares};
 use super::restore::RestoreTracker;
@@ -92,6 +94,7 @@
     notices: NoticeRegister,
     recent: RecentObjects,
     crashes: CrashRecord,
+    reachability: ReachabilityTracker,
     /// When the first endpoint was added in this process.
     first_endpoint_at: Option<PolicyTime>,
 }
@@ -127,6 +130,7 @@
             notices: NoticeRegister::default(),
             recent: RecentObjects::default(),
             crashes: CrashRecord::default(),
+            reachability: ReachabilityTracker::default(),
             first_endpoint_at: None,
         }
     }
@@ -250,6 +254,7 @@
         outcome: AttemptOutcome,
         report: Option<LoadReport>,
     ) -> bool {
+        self.record_reach(now, key, outcome);
         let cold_start = self.service_record(service).map(|record| record.cold_start);
         let Some(service) = self.services.get_mut(service) else {
             return false;
--- a/crates/jackdawmux_runtime/src/metrics.rs
+++ b/crates/jackdawmux_runtime/src/metrics.rs
@@ -29,6 +29,7 @@
     latency: Histogram<f64>,
     retries: Counter<u64>,
     config_version: Gauge<u64>,
+    isolated: Gauge<u64>,
     alarms: Counter<u64>,
 }
 
@@ -53,6 +54,7 @@
                 .with_boundaries(LATENCY_BUCKETS_S.to_vec())
                 .build(),
             retries: meter.u64_counter("jackdawmux_retries").build(),
+            isolated: meter.u64_gauge("jackdawmux_isolated").build(),
             config_version: meter.u64_gauge("jackdawmux_config_version").build(),
             alarms: meter.u64_counter("jackdawmux_alarms").build(),
             registry,
@@ -80,6 +82,11 @@
         self.config_version.record(version, &[]);
     }
 
+    /// Sets whether this instance reaches no upstream endpoint.
+    pub fn set_isolated(&self, is_isolated: bool) {
+        self.isolated.record(u64::from(is_isolated), &[]);
+    }
+
     /// Counts an alarm, a condition that an operator should investigate.
     pub fn count_alarm(&self, kind: &str) {
         self.alarms.add(1, &[KeyValue::new("kind", kind.to_owned())]);
