front, policy: an instance that reaches no endpoint forwards requests to a peer

A request could only be served over the instance's own connections. Lookups that leave the instance out help callers who look up again; those who hold a connection or a lookup still arrive.

Change: while an instance is isolated it offers the request to a peer that reaches endpoints, over the port of the heartbeats, under the prefix /forward. One hop at most; two peers at most; own region first; never a region that is none of the route's homes. Version of the configuration, attempts so far and remaining time go with the request; the peer declines (nothing has run) if it does not serve, is isolated, has an older configuration or carries as many forwarded requests as its capacity allows. What the peer responds is final. A peer that is lost after it got the request counts as having made all attempts, so nothing runs more often than allowed, and the caller gets 502 for a request that must not be repeated. The response names the endpoint, so that the instance respects what it stated (leaving, limit). A planned stop waits for forwarded requests. The access log names the peer (sends=peer:NAME/...) and, at the peer, the origin; counter jackdawmux_forwarded_requests.

Ruled out: closing connections or not being ready (a refused or closed channel is a failed attempt); a lookup that changes alone (callers keep it for three times its time to live).

--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -252,8 +252,10 @@
         tokio::join!(announcement, withdrawal);
         sleep_until(started + grace.mul_f64(ACCEPT_SHARE)).await;
         let shutdown_by = started + grace.mul_f64(STOP_SHARE);
-        callers.shut_down(shutdown_by.saturating_duration_since(Instant::now())).await;
-        drop((ready, directory, metrics, relay));
+        let time_left = shutdown_by.saturating_duration_since(Instant::now());
+        // The address for other instances may carry requests that they have forwarded.
+        tokio::join!(callers.shut_down(time_left), relay.shut_down(time_left));
+        drop((ready, directory, metrics));
         tasks.shutdown().await;
         log::info!(
             "event=stopped instance={} elapsed_ms={}",
--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -12,7 +12,7 @@
 use jackdawmux_policy::fleet::steering::FleetSteering;
 use jackdawmux_runtime::{ListenerLimits, ProcessClock, ProcessMetrics};
 use strum::{Display, EnumCount, FromRepr};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use super::connectivity::SourceConnectivity;
 use super::settings::FrontSettings;
@@ -25,6 +25,11 @@
 /// relay.
 const RELAY_DECISION_TIME: Duration = Duration::from_secs(2);
 
+/// Thousandths of a CPU core for each forwarded request that may be in progress.
+const CAPACITY_PER_FORWARDED: usize = 2;
+/// Forwarded requests that may be in progress at the smallest instance.
+const MIN_FORWARDED: usize = 16;
+
 /// Phase in the life cycle of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, FromRepr)]
 #[strum(serialize_all = "kebab-case")]
@@ -55,6 +60,11 @@
     pub(crate) clock: ProcessClock,
     pub(crate) metrics: ProcessMetrics,
     pub(crate) pool: UpstreamPool,
+    /// Connections to other instances, by the hash of their name.
+    pub(crate) peers: UpstreamPool,
+    /// Limits the forwarded requests in progress.
+    pub(crate) forwarded: Arc<Semaphore>,
+    peer_suspicions: Mutex<RelaySuspicions>,
     pub(crate) limits: watch::Sender<ListenerLimits>,
     pub(crate) incarnation: u64,
     pub(crate) connectivity: Arc<SourceConnectivity>,
@@ -97,12 +107,17 @@
         let bounds = settings.bounds.clone();
         let (own, domain) = (&settings.instance, &settings.domain);
         let steering = FleetSteering::new(own, domain, Arc::clone(&regions), bounds);
+        let capacity = usize::try_from(settings.capacity_permille).unwrap_or(usize::MAX);
+        let max_forwarded = (capacity / CAPACITY_PER_FORWARDED).max(MIN_FORWARDED);
         let directory = InstanceDirectory::new(&settings.instance, regions);
         Self {
             dialect,
             clock: ProcessClock::default(),
             metrics,
             pool: UpstreamPool::default(),
+            peers: UpstreamPool::default(),
+            forwarded: Arc::new(Semaphore::new(max_forwarded)),
+            peer_suspicions: Mutex::default(),
             limits,
             incarnation: rand::random(),
             connectivity: Arc::default(),
@@ -179,6 +194,17 @@
         true
     }
 
+    /// Forwards no request to a peer for a while, if there is another one.
+    pub(crate) fn suspect_peer(&self, peer: &str) {
+        let now = self.clock.now();
+        self.peer_suspicions.lock().unwrap_or_else(PoisonError::into_inner).record(now, peer);
+    }
+
+    /// Whether a peer failed to reply lately.
+    pub(crate) fn is_suspected_peer(&self, now: PolicyTime, peer: &str) -> bool {
+        self.peer_suspicions.lock().unwrap_or_else(PoisonError::into_inner).contains(now, peer)
+    }
+
     /// Current phase of the process.
     pub(crate) fn phase(&self) -> FrontPhase {
         FrontPhase::from_repr(self.phase.load(Ordering::Relaxed)).unwrap_or(FrontPhase::Starting)
--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -157,6 +157,7 @@
             self.state.pool.close_idle(EndpointKey::of(&id));
         }
         self.state.pool.close_expired();
+        self.state.peers.close_expired();
         self.state.check_reachability(now);
         if self.state.steering().take_settled(now) {
             log::info!("event=restore-settled");
--- a/crates/jackdawmux_front/src/relay/server.rs
+++ b/crates/jackdawmux_front/src/relay/server.rs
@@ -19,6 +19,7 @@
     CONFIG_PATH, RESTORE_PATH, RelayQuery, RelayedBatch, UPDATES_PATH, encode, encode_batch,
 };
 use crate::process::{FrontPhase, FrontState};
+use crate::request::serve_forwarded;
 
 /// Longest time for which a read is held.
 const MAX_WAIT: Duration = Duration::from_secs(30);
@@ -29,6 +30,7 @@
         .route(UPDATES_PATH, get(read_updates))
         .route(CONFIG_PATH, get(read_config))
         .route(RESTORE_PATH, get(read_restore_facts))
+        .fallback(serve_forwarded)
         .with_state(state)
 }
 
--- a/crates/jackdawmux_front/src/request/access_log.rs
+++ b/crates/jackdawmux_front/src/request/access_log.rs
@@ -34,6 +34,12 @@
         self.attempts.push(AttemptEntry { endpoint, rank: choice.rank, outcome: "open" });
     }
 
+    /// Records the peer of a new attempt.
+    pub(crate) fn record_peer(&mut self, peer: &str) {
+        let endpoint = Arc::from(format!("peer:{peer}"));
+        self.attempts.push(AttemptEntry { endpoint, rank: 0, outcome: "open" });
+    }
+
     /// Records the outcome of the latest attempt.
     pub(crate) fn record_outcome(&mut self, outcome: &'static str) {
         if let Some(attempt) = self.attempts.last_mut() {
@@ -56,7 +62,11 @@
         reason: &str,
     ) {
         let elapsed = state.clock.now().since(plan.started);
-        state.metrics.count_request(&plan.service, status.as_str(), elapsed);
+        if plan.hop.is_some() {
+            state.metrics.count_forwarded("received");
+        } else {
+            state.metrics.count_request(&plan.service, status.as_str(), elapsed);
+        }
         let is_routine = status.is_success() && self.attempts.len() == 1;
         if is_routine && !rand::random_ratio(1, ROUTINE_SAMPLE_DENOMINATOR) {
             return;
@@ -68,7 +78,7 @@
             .collect();
         log::info!(
             "event=request request={} route={} object={} service={} config={} status={} reason={reason} \
-             elapsed_ms={} allowed_ms={} sends={}",
+             elapsed_ms={} allowed_ms={} sends={} origin={}",
             plan.attempt_text(),
             plan.route.name,
             plan.object_text(),
@@ -78,6 +88,7 @@
             elapsed.as_millis(),
             plan.deadline.since(plan.started).as_millis(),
             if attempts.is_empty() { "none".to_owned() } else { attempts.join(",") },
+            plan.hop.as_ref().map_or("-", |hop| hop.origin.as_str()),
         );
     }
 }
--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -13,6 +13,7 @@
     EndpointChoice, EndpointKey, EndpointNotice, EndpointQuery, LimitStatement, NoticeEffect,
 };
 use jackdawmux_policy::fleet::outlier::AttemptOutcome;
+use jackdawmux_policy::fleet::record::InstanceRecord;
 use jackdawmux_policy::identity::stable_hash;
 use jackdawmux_runtime::strip_hop_by_hop_headers;
 use smallvec::SmallVec;
@@ -20,6 +21,7 @@
 use super::access_log::AccessLogEntry;
 use super::body::{BodyError, RequestBody, ResponseBody, buffer_response};
 use super::guard::AttemptGuard;
+use super::hop::mark_endpoint;
 use super::plan::RequestPlan;
 use super::refusal::FrontRefusal;
 use super::streamed_response::{OpenResponse, stream_response};
@@ -50,37 +52,46 @@
         self.0.load(Ordering::Relaxed)
     }
 
-    fn set(&self, is_sent: bool) {
+    pub(super) fn set(&self, is_sent: bool) {
         self.0.store(is_sent, Ordering::Relaxed);
     }
 }
 
 /// Result of one attempt, as far as it decides about a further one.
-enum AttemptResult {
+pub(super) enum AttemptResult {
     /// A response that is final.
     Final(Response<Body>),
     /// A complete response that reports a failure of the endpoint; another endpoint may succeed.
     Failed(Response<Body>),
     /// No byte of the request reached the endpoint.
     Unreachable,
-    /// The endpoint, or another one at its address, reported that it did not run the request.
-    NotRun,
+    /// The endpoint, or another one at its address, reported that it did not run the request, or a
+    /// peer did not take it. Holds the refusal if there is no other attempt.
+    NotRun(FrontRefusal),
     /// No valid response arrived; the request may have run.
     Lost,
     /// The caller's body could not be read to its end.
     BodyFailed(BodyError),
 }
 
+/// Where an attempt is made.
+enum AttemptTarget {
+    Endpoint(EndpointChoice),
+    Peer(Box<InstanceRecord>),
+}
+
 /// Forwards one request, with as many attempts as are allowed.
 pub(crate) struct ForwardTask<'task> {
-    state: &'task Arc<FrontState>,
-    plan: &'task RequestPlan,
-    body: RequestBody,
-    log_entry: &'task mut AccessLogEntry,
-    sent: &'task SentFlag,
+    pub(super) state: &'task Arc<FrontState>,
+    pub(super) plan: &'task RequestPlan,
+    pub(super) body: RequestBody,
+    pub(super) log_entry: &'task mut AccessLogEntry,
+    pub(super) sent: &'task SentFlag,
     attempted: SmallVec<[EndpointKey; 4]>,
     /// Attempts of which bytes reached an endpoint.
-    delivered: u32,
+    pub(super) delivered: u32,
+    /// Peers that were offered the request.
+    pub(super) peers: SmallVec<[String; 2]>,
 }
 
 impl<'task> ForwardTask<'task> {
@@ -91,7 +102,10 @@
         log_entry: &'task mut AccessLogEntry,
         sent: &'task SentFlag,
     ) -> Self {
-        Self { state, plan, body, log_entry, sent, attempted: SmallVec::new(), delivered: 0 }
+        // Attempts of the instance that forwarded the request count as well.
+        let delivered = plan.hop.as_ref().map_or(0, |hop| hop.delivered);
+        let (attempted, peers) = (SmallVec::new(), SmallVec::new());
+        Self { state, plan, body, log_entry, sent, attempted, delivered, peers }
     }
 
     /// Makes attempts until a response is final or no further attempt is allowed.
@@ -104,8 +118,8 @@
         let mut unreachable = 0;
         let mut refusal = FrontRefusal::Shed(SHED_RETRY_AFTER);
         loop {
-            let choice = match self.choose() {
-                Ok(choice) => choice,
+            let target = match self.choose() {
+                Ok(target) => target,
                 Err(chosen) if self.log_entry.attempt_count() == 0 => return Err(chosen),
                 Err(chosen) => {
                     if chosen.is_held_off() {
@@ -117,9 +131,11 @@
             if self.log_entry.attempt_count() > 0 {
                 self.state.metrics.count_retry(&self.plan.service);
             }
-            self.attempted.push(choice.key);
-            self.log_entry.record_attempt(&choice);
-            match self.attempt(&choice).await {
+            let result = match target {
+                AttemptTarget::Endpoint(choice) => self.attempt(&choice).await,
+                AttemptTarget::Peer(peer) => self.attempt_at_peer(&peer).await,
+            };
+            match result {
                 AttemptResult::Final(response) => {
                     self.clear_suspicion();
                     return Ok(response);
@@ -128,12 +144,9 @@
                     may_have_run = true;
                     failure = Some(response);
                 }
-                AttemptResult::Lost => {
-                    may_have_run = true;
-                    self.record_lost(choice.key);
-                }
+                AttemptResult::Lost => may_have_run = true,
                 AttemptResult::BodyFailed(error) => return Err(error.into()),
-                AttemptResult::NotRun => refusal = self.shed_refusal(&choice),
+                AttemptResult::NotRun(stated) => refusal = stated,
                 AttemptResult::Unreachable => {
                     refusal = FrontRefusal::Unreachable;
                     unreachable += 1;
@@ -142,7 +155,7 @@
             self.sent.set(may_have_run);
             let may_retry = (!may_have_run || !self.plan.is_at_most_once())
                 && self.delivered < self.plan.route.max_attempts
-                && unreachable < MAX_CONNECT_FAILURES
+                && (unreachable < MAX_CONNECT_FAILURES || self.is_isolated())
                 && self.body.is_sendable()
                 && self.time_left() >= MIN_RETRY_TIME_LEFT;
             if !may_retry {
@@ -197,11 +210,27 @@
         FrontRefusal::Shed(if is_idle { SPARE_SLOTS_RETRY_AFTER } else { SHED_RETRY_AFTER })
     }
 
-    fn time_left(&self) -> Duration {
+    pub(super) fn time_left(&self) -> Duration {
         self.plan.deadline.since(self.state.clock.now())
     }
 
-    fn choose(&self) -> Result<EndpointChoice, FrontRefusal> {
+    fn is_isolated(&self) -> bool {
+        self.state.steering().reachability().is_isolated()
+    }
+
+    /// Chooses an endpoint, or a peer while this instance reaches no endpoint. A request takes one hop
+    /// between instances at most.
+    fn choose(&self) -> Result<AttemptTarget, FrontRefusal> {
+        if self.is_isolated() {
+            let peer = if self.plan.hop.is_none() { self.select_peer() } else { None };
+            if let Some(peer) = peer {
+                return Ok(AttemptTarget::Peer(Box::new(peer)));
+            }
+        }
+        self.choose_endpoint().map(AttemptTarget::Endpoint)
+    }
+
+    fn choose_endpoint(&self) -> Result<EndpointChoice, FrontRefusal> {
         let query = EndpointQuery {
             service: &self.plan.service,
             route: &self.plan.route,
@@ -213,13 +242,30 @@
         self.state.steering().choose(now, &query).map_err(FrontRefusal::NotChosen)
     }
 
+    /// Makes one attempt at an endpoint and records what follows from its result.
     async fn attempt(&mut self, choice: &EndpointChoice) -> AttemptResult {
+        self.attempted.push(choice.key);
+        self.log_entry.record_attempt(choice);
+        let mut result = self.attempt_at_endpoint(choice).await;
+        match &mut result {
+            AttemptResult::Lost => self.record_lost(choice.key),
+            AttemptResult::Final(response) | AttemptResult::Failed(response)
+                if self.plan.hop.is_some() =>
+            {
+                mark_endpoint(response.headers_mut(), choice);
+            }
+            _ => {}
+        }
+        result
+    }
+
+    async fn attempt_at_endpoint(&mut self, choice: &EndpointChoice) -> AttemptResult {
         let mut guard =
             AttemptGuard::new(self.state, &self.plan.service, choice, self.plan.deadline);
         let Some(body) = self.body.for_attempt() else {
             return AttemptResult::Unreachable;
         };
-        let request = self.build_request(choice, body);
+        let request = self.build_request(&choice.id, body);
         let target = Exchange {
             pool: &self.state.pool,
             endpoint: choice.key,
@@ -272,14 +318,14 @@
                     self.state.dialect.read_response(response.status(), response.headers());
                 guard.record_load(headers.load);
                 self.record_notice(choice, &headers);
-                self.classify(*response, connection, &headers, guard).await
+                self.classify(choice, *response, connection, &headers, guard).await
             }
         }
     }
 
     /// Records what the endpoint states about itself. A response of another endpoint at the address
     /// says nothing about the chosen one.
-    fn record_notice(&self, choice: &EndpointChoice, headers: &ResponseHeaders) {
+    pub(super) fn record_notice(&self, choice: &EndpointChoice, headers: &ResponseHeaders) {
         let ResponseHeaders { is_leaving, retry_after, .. } = *headers;
         let limit = match headers.limit {
             // Only a response to a request that was sent after the statement shows that it has ended.
@@ -318,16 +364,12 @@
         }
     }
 
-    fn build_request(&self, choice: &EndpointChoice, body: Body) -> Request<Body> {
+    pub(super) fn build_request(&self, expected: &str, body: Body) -> Request<Body> {
         let mut request = Request::new(body);
         *request.method_mut() = self.plan.method.clone();
         *request.uri_mut() = self.plan.uri.clone();
         self.plan.headers.clone_into(request.headers_mut());
-        self.state.dialect.write_attempt_headers(
-            request.headers_mut(),
-            self.time_left(),
-            &choice.id,
-        );
+        self.state.dialect.write_attempt_headers(request.headers_mut(), self.time_left(), expected);
         request
     }
 
@@ -335,6 +377,7 @@
     /// a content coding counts as lost, and its connection is not used again.
     async fn classify(
         &mut self,
+        choice: &EndpointChoice,
         response: Response<Incoming>,
         connection: PooledConnection,
         headers: &ResponseHeaders,
@@ -349,12 +392,12 @@
         if headers.is_misdirected {
             self.log_entry.record_outcome("misdirected");
             guard.finish(AttemptOutcome::Misdirected);
-            return AttemptResult::NotRun;
+            return AttemptResult::NotRun(self.shed_refusal(choice));
         }
         if headers.is_not_run {
             self.log_entry.record_outcome("shed");
             guard.finish(AttemptOutcome::Shed);
-            return AttemptResult::NotRun;
+            return AttemptResult::NotRun(self.shed_refusal(choice));
         }
         if headers.is_encoded || (response.status().is_success() && !headers.is_signed) {
             self.log_entry.record_outcome("unsigned-answer");
@@ -364,7 +407,7 @@
         self.read_body(response, connection, guard).await
     }
 
-    async fn read_body(
+    pub(super) async fn read_body(
         &mut self,
         response: Response<Incoming>,
         connection: PooledConnection,
@@ -384,7 +427,7 @@
                     return AttemptResult::Final(response);
                 }
                 self.log_entry.record_outcome("failed");
-                self.state.pool.release(connection);
+                guard.release(connection);
                 guard.finish(AttemptOutcome::Failed);
                 AttemptResult::Failed(response)
             }
--- a/crates/jackdawmux_front/src/request/guard.rs
+++ b/crates/jackdawmux_front/src/request/guard.rs
@@ -23,6 +23,8 @@
     /// cold object does not reflect the endpoint's health and is not recorded.
     is_warm: bool,
     is_finished: bool,
+    /// Whether the attempt was made at a peer, whose endpoints are its own concern.
+    is_peer: bool,
 }
 
 impl AttemptGuard {
@@ -41,9 +43,31 @@
             load: None,
             is_warm: choice.is_warm,
             is_finished: false,
+            is_peer: false,
         }
     }
 
+    /// A guard of an attempt at a peer, which counts at no endpoint.
+    pub(crate) fn for_peer(state: &Arc<FrontState>, deadline: PolicyTime) -> Self {
+        Self {
+            started: state.clock.now(),
+            state: Arc::clone(state),
+            service: String::new(),
+            endpoint: EndpointKey(0),
+            deadline,
+            load: None,
+            is_warm: false,
+            is_finished: false,
+            is_peer: true,
+        }
+    }
+
+    /// Returns a connection to the pool that it was taken from.
+    pub(crate) fn release(&self, connection: PooledConnection) {
+        let pool = if self.is_peer { &self.state.peers } else { &self.state.pool };
+        pool.release(connection);
+    }
+
     /// Records the load that the response reports.
     pub(crate) const fn record_load(&mut self, load: Option<LoadReport>) {
         self.load = load;
@@ -52,7 +76,7 @@
     /// Records that a complete response was read, and returns its connection to the pool.
     pub(crate) fn finish_answered(self, connection: PooledConnection) {
         let latency = self.state.clock.now().since(self.started);
-        self.state.pool.release(connection);
+        self.release(connection);
         let latency = self.is_warm.then_some(latency);
         self.finish(AttemptOutcome::Answered(latency));
     }
@@ -68,7 +92,7 @@
     }
 
     fn finish_once(&mut self, outcome: AttemptOutcome) {
-        if std::mem::replace(&mut self.is_finished, true) {
+        if std::mem::replace(&mut self.is_finished, true) || self.is_peer {
             return;
         }
         let now = self.state.clock.now();
--- a/crates/jackdawmux_front/src/request/mod.rs
+++ b/crates/jackdawmux_front/src/request/mod.rs
@@ -3,10 +3,14 @@
 mod access_log;
 mod body;
 mod forward;
+mod forwarded;
 mod guard;
+mod hop;
+mod peer_attempt;
 mod plan;
 mod refusal;
 mod serve;
 mod streamed_response;
 
+pub(crate) use forwarded::serve_forwarded;
 pub(crate) use serve::{front_router, read_ahead_filter};
--- /dev/null
+++ b/crates/jackdawmux_front/src/request/peer_attempt.rs
@@ -0,0 +1,130 @@
+//! Forwards a request to a peer while this instance reaches no endpoint.
+
+use axum::http::Response;
+use axum::http::header::CONNECTION;
+use hyper::body::Incoming;
+use jackdawmux_policy::fleet::choice::{EndpointChoice, EndpointKey};
+use jackdawmux_policy::fleet::forwarding::{PeerQuery, select_peer};
+use jackdawmux_policy::fleet::record::InstanceRecord;
+
+use super::forward::{AttemptResult, ForwardTask};
+use super::guard::AttemptGuard;
+use super::hop::{FORWARD_PREFIX, HopRecord, take_declined, take_endpoint};
+use super::refusal::FrontRefusal;
+use crate::upstream::{Exchange, ExchangeOutcome, PooledConnection, exchange};
+
+/// Peers that one request may be offered to.
+const MAX_PEERS: usize = 2;
+
+impl ForwardTask<'_> {
+    /// Selects a peer that has not been offered the request yet.
+    pub(super) fn select_peer(&self) -> Option<InstanceRecord> {
+        if self.peers.len() >= MAX_PEERS {
+            return None;
+        }
+        let now = self.state.clock.now();
+        let directory = self.state.directory();
+        let live = directory.live(now);
+        let region = self.state.settings.regions.get(&self.state.settings.domain);
+        let query = PeerQuery {
+            own: &self.state.settings.instance,
+            region: region.map_or("", String::as_str),
+            homes: &self.plan.route.homes,
+            excluded: &self.peers,
+            draw: rand::random(),
+        };
+        let trusted: Vec<_> = live
+            .iter()
+            .filter(|instance| !self.state.is_suspected_peer(now, &instance.record.name))
+            .copied()
+            .collect();
+        select_peer(&trusted, &query).or_else(|| select_peer(&live, &query)).cloned()
+    }
+
+    /// Offers the request to a peer. Whatever the peer responds is final, unless it declines.
+    pub(super) async fn attempt_at_peer(&mut self, peer: &InstanceRecord) -> AttemptResult {
+        self.peers.push(peer.name.clone());
+        self.log_entry.record_peer(&peer.name);
+        let Some(body) = self.body.for_attempt() else {
+            return AttemptResult::Unreachable;
+        };
+        let mut request = self.build_request(&peer.name, body);
+        let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
+        let hop = HopRecord {
+            config_version: self.plan.table.version(),
+            delivered: self.delivered,
+            origin: self.state.settings.instance.clone(),
+        };
+        let uri = format!("{FORWARD_PREFIX}{path}").parse();
+        let (Ok(uri), true) = (uri, hop.write(request.headers_mut())) else {
+            return AttemptResult::Unreachable;
+        };
+        *request.uri_mut() = uri;
+        let target = Exchange {
+            pool: &self.state.peers,
+            endpoint: EndpointKey::of(&peer.name),
+            address: peer.heartbeat_address,
+            is_at_most_once: self.plan.is_at_most_once(),
+            time_left: self.time_left(),
+        };
+        self.state.metrics.count_forwarded("sent");
+        match exchange(target, request, |_is_new| self.sent.set(true)).await {
+            ExchangeOutcome::Unreachable { error, .. } => {
+                log::debug!("event=peer-unreachable peer={} error={error:?}", peer.name);
+                self.log_entry.record_outcome("unreachable");
+                self.state.suspect_peer(&peer.name);
+                AttemptResult::Unreachable
+            }
+            ExchangeOutcome::Lost { error } => {
+                log::debug!("event=peer-lost peer={} error={error:?}", peer.name);
+                if let Some(failure) = self.body.failure() {
+                    self.log_entry.record_outcome("body-failed");
+                    return AttemptResult::BodyFailed(failure);
+                }
+                self.log_entry.record_outcome("lost");
+                self.state.suspect_peer(&peer.name);
+                // The peer may have made all attempts that the route allows.
+                self.delivered = self.plan.route.max_attempts;
+                AttemptResult::Lost
+            }
+            ExchangeOutcome::Answered(response, connection) => {
+                self.read_peer_response(*response, connection).await
+            }
+        }
+    }
+
+    async fn read_peer_response(
+        &mut self,
+        mut response: Response<Incoming>,
+        connection: PooledConnection,
+    ) -> AttemptResult {
+        let guard = AttemptGuard::for_peer(self.state, self.plan.deadline);
+        if take_declined(response.headers_mut()).is_some() {
+            self.log_entry.record_outcome("declined");
+            drop(guard);
+            return AttemptResult::NotRun(FrontRefusal::Isolated);
+        }
+        if let Some((key, started_ms, id)) = take_endpoint(response.headers_mut()) {
+            let choice = EndpointChoice {
+                key,
+                id: id.into(),
+                address: self.state.settings.listen,
+                started_ms,
+                rank: 0,
+                is_warm: false,
+                is_limited: false,
+            };
+            let stated = self.state.dialect.read_response(response.status(), response.headers());
+            self.record_notice(&choice, &stated);
+        }
+        response.headers_mut().remove(CONNECTION);
+        match self.read_body(response, connection, guard).await {
+            AttemptResult::Failed(response) => AttemptResult::Final(response),
+            AttemptResult::Lost => {
+                self.delivered = self.plan.route.max_attempts;
+                AttemptResult::Lost
+            }
+            result => result,
+        }
+    }
+}
--- a/crates/jackdawmux_front/src/request/plan.rs
+++ b/crates/jackdawmux_front/src/request/plan.rs
@@ -12,6 +12,7 @@
 use jackdawmux_policy::identity::stable_hash;
 use jackdawmux_runtime::strip_hop_by_hop_headers;
 
+use super::hop::HopRecord;
 use super::refusal::FrontRefusal;
 use crate::process::FrontState;
 
@@ -29,6 +30,8 @@
     object_name: Option<HeaderValue>,
     pub(crate) started: PolicyTime,
     pub(crate) deadline: PolicyTime,
+    /// Set if another instance forwarded the request.
+    pub(crate) hop: Option<HopRecord>,
 }
 
 impl RequestPlan {
@@ -68,9 +71,15 @@
             object_name: request_headers.object,
             started,
             deadline: started + allowed,
+            hop: None,
         })
     }
 
+    /// Marks the request as forwarded by another instance.
+    pub(crate) fn forwarded(self, hop: HopRecord) -> Self {
+        Self { hop: Some(hop), ..self }
+    }
+
     /// Whether the request must not run more than once.
     pub(crate) fn is_at_most_once(&self) -> bool {
         self.route.repeat == RepeatRule::Once
--- a/crates/jackdawmux_front/src/request/refusal.rs
+++ b/crates/jackdawmux_front/src/request/refusal.rs
@@ -15,6 +15,8 @@
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry-after delay when no endpoint could be reached in time.
 const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(120);
+/// Retry-after delay while this instance reaches no endpoint; its end is noticed within this time.
+const ISOLATED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry-after delay while this process stops. Another instance can serve the request at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(5);
 /// Random extension of retry-after delays, as a share, so that callers do not retry all at once.
@@ -41,6 +43,8 @@
     Shed(Duration),
     /// No endpoint could be connected to; it was not run.
     Unreachable,
+    /// This instance reaches no endpoint, and no peer took the request; it was not run.
+    Isolated,
     /// The process stops before the request's deadline; it was not run.
     Stopping,
     /// The deadline passed before the request was sent to any endpoint.
@@ -70,6 +74,7 @@
             | Self::NotChosen(_)
             | Self::Shed(_)
             | Self::Unreachable
+            | Self::Isolated
             | Self::Stopping
             | Self::DeadlineUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -86,6 +91,7 @@
             Self::NoConfiguration => Some(STARTING_RETRY_AFTER),
             Self::NotChosen(refusal) => Some(refusal.retry_after),
             Self::Shed(retry_after) => Some(retry_after),
+            Self::Isolated => Some(ISOLATED_RETRY_AFTER),
             Self::Stopping => Some(STOPPING_RETRY_AFTER),
             Self::Unreachable | Self::DeadlineUnsent => Some(UNREACHABLE_RETRY_AFTER),
             Self::NoRoute
@@ -97,8 +103,11 @@
         }
     }
 
-    /// Whether the endpoints that are left want no requests for some time.
+    /// Whether the endpoints that are left want no requests for some time, or cannot be reached.
     pub(crate) const fn is_held_off(self) -> bool {
+        if matches!(self, Self::Isolated) {
+            return true;
+        }
         let Self::NotChosen(ChoiceRefusal { reason, .. }) = self else {
             return false;
         };
--- a/crates/jackdawmux_front/src/request/serve.rs
+++ b/crates/jackdawmux_front/src/request/serve.rs
@@ -60,6 +60,12 @@
             refusal.response()
         }
     };
+    finish_response(&state, &mut response);
+    response
+}
+
+/// States in a response whether and for how long its connection may be used again.
+pub(super) fn finish_response(state: &FrontState, response: &mut Response<Body>) {
     let headers = response.headers_mut();
     if state.phase() == FrontPhase::Leaving {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
@@ -67,10 +73,13 @@
         let idle = state.limits.borrow().idle_timeout;
         headers.insert(KEEP_ALIVE, format_keep_alive(idle));
     }
-    response
 }
 
-async fn serve_plan(state: &Arc<FrontState>, plan: &RequestPlan, body: Body) -> Response<Body> {
+pub(super) async fn serve_plan(
+    state: &Arc<FrontState>,
+    plan: &RequestPlan,
+    body: Body,
+) -> Response<Body> {
     let mut log_entry = AccessLogEntry::default();
     let sent = SentFlag::default();
     let deadline = state.clock.instant(plan.deadline);
--- a/crates/jackdawmux_policy/src/fleet/mod.rs
+++ b/crates/jackdawmux_policy/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 pub mod directory;
 pub mod endpoint_limit;
 pub mod endpoint_state;
+pub mod forwarding;
 pub mod freshness;
 mod notices;
 pub mod outlier;
--- a/crates/jackdawmux_runtime/src/metrics.rs
+++ b/crates/jackdawmux_runtime/src/metrics.rs
@@ -28,6 +28,7 @@
     requests: Counter<u64>,
     latency: Histogram<f64>,
     retries: Counter<u64>,
+    forwarded: Counter<u64>,
     config_version: Gauge<u64>,
     isolated: Gauge<u64>,
     alarms: Counter<u64>,
@@ -55,6 +56,7 @@
                 .build(),
             retries: meter.u64_counter("jackdawmux_retries").build(),
             isolated: meter.u64_gauge("jackdawmux_isolated").build(),
+            forwarded: meter.u64_counter("jackdawmux_forwarded_requests").build(),
             config_version: meter.u64_gauge("jackdawmux_config_version").build(),
             alarms: meter.u64_counter("jackdawmux_alarms").build(),
             registry,
@@ -77,6 +79,11 @@
         self.retries.add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Counts a request between two instances; `direction` is `sent` or `received`.
+    pub fn count_forwarded(&self, direction: &'static str) {
+        self.forwarded.add(1, &[KeyValue::new("direction", direction)]);
+    }
+
     /// Sets the version of the active configuration.
     pub fn set_config_version(&self, version: u64) {
         self.config_version.record(version, &[]);
