front, policy: isolated instances use surviving connections, and refuse at once what nobody can serve

Callers saw: with all instances partitioned, or all endpoints down, each request tried three endpoints and was refused after 900 ms (47 of 47, callers_are_refused_at_once_when_no_front_reaches_an_endpoint).

Cause: what is known of the endpoints as a whole did not reach the decision about one request.

Change: an isolated instance without a peer refuses at once, with the time after which probes have noticed the end. Connections that have survived are used: for an object's preferred endpoint before a peer is asked, and for any candidate if no peer is left. A peer that becomes isolated, or stops, while it holds a forwarded request that has not run declines it, so that another peer is asked.

It has not failed before: until isolation was known, surviving connections were used by chance.

--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -10,9 +10,11 @@
 use hyper::body::Incoming;
 use jackdawmux_policy::fleet::backoff::MAX_PAUSE;
 use jackdawmux_policy::fleet::choice::{
-    EndpointChoice, EndpointKey, EndpointNotice, EndpointQuery, LimitStatement, NoticeEffect,
+    ConnectedOnly, EndpointChoice, EndpointKey, EndpointNotice, EndpointQuery, LimitStatement,
+    NoticeEffect,
 };
 use jackdawmux_policy::fleet::outlier::AttemptOutcome;
+use jackdawmux_policy::fleet::reachability::Reachability;
 use jackdawmux_policy::fleet::record::InstanceRecord;
 use jackdawmux_policy::identity::stable_hash;
 use jackdawmux_runtime::strip_hop_by_hop_headers;
@@ -221,22 +223,36 @@
     /// Chooses an endpoint, or a peer while this instance reaches no endpoint. A request takes one hop
     /// between instances at most.
     fn choose(&self) -> Result<AttemptTarget, FrontRefusal> {
-        if self.is_isolated() {
-            let peer = if self.plan.hop.is_none() { self.select_peer() } else { None };
-            if let Some(peer) = peer {
-                return Ok(AttemptTarget::Peer(Box::new(peer)));
+        let reachability = self.state.steering().reachability().clone();
+        if !reachability.is_isolated() {
+            return self.choose_endpoint(None).map(AttemptTarget::Endpoint);
+        }
+        let peer = if self.plan.hop.is_none() { self.select_peer() } else { None };
+        if reachability.has_usable_connections(self.state.clock.now()) {
+            let keys = self.state.pool.idle_endpoints(self.plan.is_at_most_once());
+            let only = ConnectedOnly { keys: &keys, is_preferred_only: peer.is_some() };
+            if let Ok(choice) = self.choose_endpoint(Some(only)) {
+                return Ok(AttemptTarget::Endpoint(choice));
             }
         }
-        self.choose_endpoint().map(AttemptTarget::Endpoint)
+        match peer {
+            Some(peer) => Ok(AttemptTarget::Peer(Box::new(peer))),
+            None if reachability.state() == Reachability::Isolated => Err(FrontRefusal::Isolated),
+            None => self.choose_endpoint(None).map(AttemptTarget::Endpoint),
+        }
     }
 
-    fn choose_endpoint(&self) -> Result<EndpointChoice, FrontRefusal> {
+    fn choose_endpoint(
+        &self,
+        connected: Option<ConnectedOnly<'_>>,
+    ) -> Result<EndpointChoice, FrontRefusal> {
         let query = EndpointQuery {
             service: &self.plan.service,
             route: &self.plan.route,
             object: self.plan.object_hash,
             attempted: &self.attempted,
             is_retry: self.delivered > 0,
+            connected,
         };
         let now = self.state.clock.now();
         self.state.steering().choose(now, &query).map_err(FrontRefusal::NotChosen)
--- a/crates/jackdawmux_front/src/request/serve.rs
+++ b/crates/jackdawmux_front/src/request/serve.rs
@@ -15,6 +15,7 @@
 use super::access_log::AccessLogEntry;
 use super::body::RequestBody;
 use super::forward::{ForwardTask, SentFlag};
+use super::hop::mark_declined;
 use super::plan::RequestPlan;
 use super::refusal::FrontRefusal;
 use crate::process::{FrontPhase, FrontState};
@@ -94,7 +95,12 @@
         }
         Err(refusal) => {
             log_entry.write(state, plan, refusal.status(), &refusal.to_string());
-            refusal.response()
+            let mut response = refusal.response();
+            let is_declined = matches!(refusal, FrontRefusal::Isolated | FrontRefusal::Stopping);
+            if plan.hop.is_some() && is_declined {
+                mark_declined(response.headers_mut(), "no-longer-able");
+            }
+            response
         }
     }
 }
--- a/crates/jackdawmux_front/src/upstream/pool.rs
+++ b/crates/jackdawmux_front/src/upstream/pool.rs
@@ -67,6 +67,19 @@
     since: Instant,
 }
 
+impl IdleConnection {
+    /// Whether a request may be sent that takes connections idle for less than `bound`.
+    fn is_usable(&self, bound: Duration) -> bool {
+        let idle_timeout = self.connection.idle_timeout.min(bound);
+        self.since.elapsed() < idle_timeout && self.connection.sender.is_ready()
+    }
+}
+
+/// Maximum idle time of a connection for a request.
+const fn max_idle(is_at_most_once: bool) -> Duration {
+    if is_at_most_once { AT_MOST_ONCE_IDLE_TIMEOUT } else { MAX_IDLE_TIMEOUT }
+}
+
 /// Idle connections by endpoint.
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamPool {
@@ -80,19 +93,26 @@
         endpoint: EndpointKey,
         is_at_most_once: bool,
     ) -> Option<PooledConnection> {
-        let bound = if is_at_most_once { AT_MOST_ONCE_IDLE_TIMEOUT } else { MAX_IDLE_TIMEOUT };
+        let bound = max_idle(is_at_most_once);
         let mut idle = self.lock();
         let connections = idle.get_mut(&endpoint)?;
         while let Some(candidate) = connections.pop() {
-            let idle_timeout = candidate.connection.idle_timeout.min(bound);
-            let is_fresh = candidate.since.elapsed() < idle_timeout;
-            if is_fresh && candidate.connection.sender.is_ready() {
+            if candidate.is_usable(bound) {
                 return Some(candidate.connection);
             }
         }
         None
     }
 
+    /// Returns the endpoints to which there are idle connections that are recent enough for a request.
+    pub(crate) fn idle_endpoints(&self, is_at_most_once: bool) -> Vec<EndpointKey> {
+        let bound = max_idle(is_at_most_once);
+        let idle = self.lock();
+        let is_usable = |idle: &IdleConnection| idle.is_usable(bound);
+        let usable = idle.iter().filter(|(_, connections)| connections.iter().any(is_usable));
+        usable.map(|(endpoint, _)| *endpoint).collect()
+    }
+
     /// Opens a connection.
     ///
     /// # Errors
--- a/crates/jackdawmux_policy/src/fleet/choice.rs
+++ b/crates/jackdawmux_policy/src/fleet/choice.rs
@@ -72,6 +72,15 @@
     Unlimited,
 }
 
+/// Restricts a choice to endpoints to which connections are open, while none can be opened.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectedOnly<'query> {
+    /// The endpoints with open connections.
+    pub keys: &'query [EndpointKey],
+    /// Whether only the object's preferred endpoint may be chosen.
+    pub is_preferred_only: bool,
+}
+
 /// Query for the endpoint of one attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct EndpointQuery<'query> {
@@ -85,6 +94,8 @@
     pub attempted: &'query [EndpointKey],
     /// Whether bytes of the request have already reached an endpoint.
     pub is_retry: bool,
+    /// Restriction to endpoints with open connections; none if connections can be opened.
+    pub connected: Option<ConnectedOnly<'query>>,
 }
 
 /// The endpoint chosen for an attempt.
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -377,7 +377,13 @@
                 best.insert(position, (score, index));
             }
         }
-        best.into_iter().map(|(_score, index)| index).collect()
+        let mut candidates: SmallVec<[usize; MAX_CANDIDATES]> =
+            best.into_iter().map(|(_score, index)| index).collect();
+        if let Some(connected) = query.connected {
+            candidates.truncate(if connected.is_preferred_only { 1 } else { MAX_CANDIDATES });
+            candidates.retain(|index| connected.keys.contains(&service.endpoints[*index].key));
+        }
+        candidates
     }
 
     /// Returns whether requests of a route may be sent to an endpoint, apart from its ejection and
--- a/crates/jackdawmux_policy/tests/endpoint_limits.rs
+++ b/crates/jackdawmux_policy/tests/endpoint_limits.rs
@@ -117,8 +117,14 @@
 /// Chooses an endpoint for an object and ends the attempt immediately.
 fn choose(steering: &mut FleetSteering, now: PolicyTime, object: u64) -> EndpointChoice {
     let route = route();
-    let query =
-        EndpointQuery { service: SERVICE, route: &route, object, attempted: &[], is_retry: false };
+    let query = EndpointQuery {
+        service: SERVICE,
+        route: &route,
+        object,
+        attempted: &[],
+        is_retry: false,
+        connected: None,
+    };
     let choice = steering.choose(now, &query).expect("an endpoint is usable");
     steering.finish(now, SERVICE, choice.key, AttemptOutcome::Cancelled, None);
     choice
@@ -222,6 +228,7 @@
         object: 1,
         attempted: &[],
         is_retry: false,
+        connected: None,
     };
     let choice = steering.choose(at(10), &query).expect("the endpoint is usable");
     let rate = LimitRate::per_second(0.5).expect("a rate");
--- a/crates/jackdawmux_policy/tests/endpoint_notices.rs
+++ b/crates/jackdawmux_policy/tests/endpoint_notices.rs
@@ -40,8 +40,14 @@
     object: u64,
 ) -> Result<EndpointChoice, ChoiceRefusal> {
     let route = route();
-    let query =
-        EndpointQuery { service: SERVICE, route: &route, object, attempted: &[], is_retry: false };
+    let query = EndpointQuery {
+        service: SERVICE,
+        route: &route,
+        object,
+        attempted: &[],
+        is_retry: false,
+        connected: None,
+    };
     let choice = steering.choose(now, &query)?;
     steering.finish(now, SERVICE, choice.key, AttemptOutcome::Cancelled, None);
     Ok(choice)
--- a/crates/jackdawmux_policy/tests/fleet_rules.rs
+++ b/crates/jackdawmux_policy/tests/fleet_rules.rs
@@ -35,7 +35,14 @@
 }
 
 fn query(route: &RouteRecord, object: u64) -> EndpointQuery<'_> {
-    EndpointQuery { service: SERVICE, route, object, attempted: &[], is_retry: false }
+    EndpointQuery {
+        service: SERVICE,
+        route,
+        object,
+        attempted: &[],
+        is_retry: false,
+        connected: None,
+    }
 }
 
 /// Chooses an endpoint and cancels the attempt immediately.
--- a/crates/jackdawmux_policy/tests/restore_model.rs
+++ b/crates/jackdawmux_policy/tests/restore_model.rs
@@ -265,6 +265,7 @@
             object: 1,
             attempted: &[],
             is_retry: false,
+            connected: None,
         };
         // The copy keeps counts of requests out of the modelled front.
         self.outline.is_usable = self.front.clone().choose(now(), &query).is_ok();
--- a/crates/jackdawmux_policy/tests/support/warm_fleet.rs
+++ b/crates/jackdawmux_policy/tests/support/warm_fleet.rs
@@ -199,6 +199,7 @@
             object: hash,
             attempted: &[],
             is_retry: false,
+            connected: None,
         };
         let Ok(choice) = self.fronts[front].choose(PolicyTime(at), &query) else {
             self.refuse(at, object, requested_at);
--- a/crates/jackdawmux_policy/tests/tombstones.rs
+++ b/crates/jackdawmux_policy/tests/tombstones.rs
@@ -44,6 +44,7 @@
         object: 1,
         attempted: &[],
         is_retry: false,
+        connected: None,
     };
     steering.choose(now, &query).is_ok()
 }
--- a/crates/jackdawmux_policy/tests/update_model.rs
+++ b/crates/jackdawmux_policy/tests/update_model.rs
@@ -342,6 +342,7 @@
         object: 1,
         attempted: &[],
         is_retry: false,
+        connected: None,
     };
     let is_usable = steering.choose(now, &query).is_ok();
     match (is_usable, steering.endpoint_count()) {
