policy: a refused connection is a crash only if another endpoint can be connected to

Callers would see: a harmless request answered 502 (poisonous) by all instances, because one of them was partitioned while the request ran.

Cause: a request whose connection ended, followed by a refused connection to the same endpoint, counted as a crash at once. In a partition with resets that is so for every endpoint; three count as poison, and heartbeats share them. Class of fault: evidence about others that the observer's own path can produce.

Change: a refused connection only marks the suspects; they count once a connection to any endpoint opens afterwards. A confirmed isolation drops them. A restart that the registration shows counts at once, as before.

--- a/crates/jackdawmux_policy/src/fleet/crash_record.rs
+++ b/crates/jackdawmux_policy/src/fleet/crash_record.rs
@@ -1,7 +1,9 @@
 //! Poison request detection: blocks requests that crash every endpoint that runs them.
 //!
 //! A request whose connection ended without a response is a suspect. A crash is recorded for it
-//! once its endpoint is found to be down or restarted. A response clears the request: a harmless
+//! once its endpoint is found to be down or restarted. A refused connection shows this only if a
+//! connection to another endpoint can be opened afterwards; otherwise this instance may be
+//! partitioned from all endpoints, none of which has crashed. A response clears the request: a harmless
 //! request that happened to run during a crash gets a response soon after, and a poison request
 //! never does.
 
@@ -38,6 +40,8 @@
     digest: RequestDigest,
     endpoint: EndpointKey,
     at: PolicyTime,
+    /// Whether the endpoint has refused a connection since.
+    is_refused: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -71,14 +75,38 @@
     pub fn record_lost(&mut self, now: PolicyTime, digest: RequestDigest, endpoint: EndpointKey) {
         self.pending.retain(|lost| now.since(lost.at) <= CONFIRMATION_TIMEOUT);
         if self.pending.len() < MAX_PENDING_REQUESTS {
-            self.pending.push(LostRequest { digest, endpoint, at: now });
+            self.pending.push(LostRequest { digest, endpoint, at: now, is_refused: false });
         }
     }
 
-    /// Records that an endpoint was found to be down or restarted.
+    /// Records that an endpoint refused a connection.
+    pub fn record_refused(&mut self, endpoint: EndpointKey) {
+        for lost in self.pending.iter_mut().filter(|lost| lost.endpoint == endpoint) {
+            lost.is_refused = true;
+        }
+    }
+
+    /// Records that a connection to an endpoint was opened: the endpoints that refused one before
+    /// are down.
+    pub fn record_connected(&mut self, now: PolicyTime) {
+        if self.pending.iter().any(|lost| lost.is_refused) {
+            self.record_crashes(now, |lost| lost.is_refused);
+        }
+    }
+
+    /// Drops the suspects: this instance was partitioned from all endpoints.
+    pub fn record_isolation(&mut self) {
+        self.pending.clear();
+    }
+
+    /// Records that an endpoint was found to be restarted.
     pub fn record_endpoint_down(&mut self, now: PolicyTime, endpoint: EndpointKey) {
+        self.record_crashes(now, |lost| lost.endpoint == endpoint);
+    }
+
+    fn record_crashes(&mut self, now: PolicyTime, is_confirmed: impl Fn(&LostRequest) -> bool) {
         let (confirmed, rest): (Vec<LostRequest>, Vec<LostRequest>) =
-            self.pending.drain(..).partition(|lost| lost.endpoint == endpoint);
+            self.pending.drain(..).partition(is_confirmed);
         self.pending = rest;
         for lost in confirmed {
             if now.since(lost.at) <= CONFIRMATION_TIMEOUT {
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -273,7 +273,7 @@
         match outcome {
             AttemptOutcome::Unreachable => {
                 state.cold_after_recovery = cold_start;
-                self.crashes.record_endpoint_down(now, key);
+                self.crashes.record_refused(key);
             }
             AttemptOutcome::Silent => {
                 state.cold_after_recovery.get_or_insert(REGISTRATION_DELAY);
--- a/crates/jackdawmux_policy/src/fleet/steering/isolation.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering/isolation.rs
@@ -18,6 +18,7 @@
 
     /// Records that a connection to an endpoint was opened. Returns whether it ends an isolation.
     pub fn record_connected(&mut self, now: PolicyTime) -> bool {
+        self.crashes.record_connected(now);
         self.reachability.record_connected(now)
     }
 
@@ -49,7 +50,11 @@
     /// Records that no endpoint of a round of probes could be connected to. Returns whether this
     /// instance counts as isolated from now on.
     pub fn record_failed_round(&mut self, now: PolicyTime) -> bool {
-        self.reachability.record_failed_round(now)
+        let is_new = self.reachability.record_failed_round(now);
+        if is_new {
+            self.crashes.record_isolation();
+        }
+        is_new
     }
 
     /// Ends the recovery after an isolation when its time is over. Returns whether it has ended now.
--- a/crates/jackdawmux_policy/tests/fleet_rules.rs
+++ b/crates/jackdawmux_policy/tests/fleet_rules.rs
@@ -513,11 +513,12 @@
 
 const DIGEST: u64 = 77;
 
-/// Loses a request at an endpoint that is then found to be down.
+/// Loses a request at an endpoint that is then found to be down, while another one is connected to.
 fn crash(steering: &mut FleetSteering, now: PolicyTime, index: u16) {
     let key = EndpointKey::of(&endpoint(index).id);
     steering.crashes_mut().record_lost(now, DIGEST, key);
     steering.finish(now, SERVICE, key, AttemptOutcome::Unreachable, None);
+    steering.record_connected(now);
 }
 
 #[test]
