policy, front: what a partition leaves behind does not count against endpoints

Cause: every failed attempt of the partitioned instance was held against its endpoint: ejection with a doubled time, and a cold start once it responds, although none had restarted.

Change: an endpoint's state before its first failure is kept until it responds. A response on a connection that survived shows that its endpoint has not restarted.

--- a/crates/jackdawmux_front/src/process/endpoint_probe.rs
+++ b/crates/jackdawmux_front/src/process/endpoint_probe.rs
@@ -77,12 +77,23 @@
 
     /// Performs what is due while connections to endpoints fail, and after that.
     pub(super) fn check_reachability(&self, now: PolicyTime) {
+        if !self.steering().reachability().is_isolated() {
+            return;
+        }
+        let has_peers = self.directory().live(now).iter().any(|instance| {
+            !instance.is_isolated && instance.record.name != self.settings.instance
+        });
+        let is_informed = has_peers && self.connectivity.connected_for().is_some();
         let mut steering = self.steering();
-        let is_over = steering.take_recovered(now);
+        if !is_informed {
+            steering.record_alone();
+        }
+        let keeps_warm = !steering.reachability().was_alone();
+        let is_over = steering.take_recovered(now, keeps_warm);
         let state = steering.reachability().state();
         drop(steering);
         if is_over {
-            log::info!("event=isolation-ended");
+            log::info!("event=isolation-ended was_alone={}", !keeps_warm);
             self.announce_isolation(false);
         } else if state == Reachability::Isolated {
             self.probe_due.notify_one();
--- a/crates/jackdawmux_policy/src/fleet/endpoint_state.rs
+++ b/crates/jackdawmux_policy/src/fleet/endpoint_state.rs
@@ -47,6 +47,14 @@
     Same,
 }
 
+/// What failures change, as it was before them.
+#[derive(Clone, Debug)]
+pub(super) struct FailureBaseline {
+    pub(super) at: PolicyTime,
+    pub(super) outlier: OutlierState,
+    pub(super) cold_after_recovery: Option<Duration>,
+}
+
 #[derive(Clone, Debug)]
 pub(super) struct EndpointState {
     pub(super) record: EndpointRecord,
@@ -62,6 +70,8 @@
     pub(super) outlier: OutlierState,
     /// Set while the endpoint is unreachable: how long it counts as cold once it responds again.
     pub(super) cold_after_recovery: Option<Duration>,
+    /// State before the first of the failures since the last response; none without failures.
+    pub(super) before_failures: Option<FailureBaseline>,
     pub(super) lapses_at: Option<PolicyTime>,
     /// What this incarnation stated in its responses.
     pub(super) stated: StatedNotice,
@@ -83,6 +93,7 @@
             reported_at: now,
             outlier: OutlierState::default(),
             cold_after_recovery: None,
+            before_failures: None,
             lapses_at: None,
             stated: StatedNotice::default(),
             pacer: None,
@@ -131,6 +142,19 @@
         self.cold_until = self.cold_until.max(now + span + COLD_MARGIN);
     }
 
+    /// Keeps the state before the first of several failures.
+    pub(super) fn record_baseline(&mut self, now: PolicyTime, is_failure: bool) {
+        if !is_failure {
+            self.before_failures = None;
+        } else if self.before_failures.is_none() {
+            self.before_failures = Some(FailureBaseline {
+                at: now,
+                outlier: self.outlier.clone(),
+                cold_after_recovery: self.cold_after_recovery,
+            });
+        }
+    }
+
     /// Returns whether new requests may be sent to this incarnation at all, as far as it and its
     /// registration say.
     pub(super) fn accepts_requests(&self, now: PolicyTime) -> bool {
--- a/crates/jackdawmux_policy/src/fleet/outlier.rs
+++ b/crates/jackdawmux_policy/src/fleet/outlier.rs
@@ -50,6 +50,14 @@
     Cancelled,
 }
 
+impl AttemptOutcome {
+    /// Returns whether the cause may be the network path rather than the endpoint.
+    #[must_use]
+    pub const fn is_path_failure(self) -> bool {
+        matches!(self, Self::Unreachable | Self::Silent | Self::Lost | Self::TimedOut(_))
+    }
+}
+
 /// Why an endpoint is ejected.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum EjectionCause {
--- a/crates/jackdawmux_policy/src/fleet/reachability.rs
+++ b/crates/jackdawmux_policy/src/fleet/reachability.rs
@@ -72,6 +72,8 @@
     /// When the last round of probes was started.
     probed_at: Option<PolicyTime>,
     recovers_at: PolicyTime,
+    /// Whether nobody who reaches the endpoints was known for a part of the isolation.
+    was_alone: bool,
 }
 
 impl ReachabilityTracker {
@@ -149,11 +151,23 @@
         if self.probed_at.is_none() || self.state == Reachability::Isolated {
             return false;
         }
+        self.was_alone &= self.state == Reachability::Recovering;
         self.state = Reachability::Isolated;
         self.probed_at = Some(now);
         true
     }
 
+    /// Records that no peer is known that reaches the endpoints, or that the update source is lost.
+    pub const fn record_alone(&mut self) {
+        self.was_alone = true;
+    }
+
+    /// Returns whether that was so for a part of the isolation.
+    #[must_use]
+    pub const fn was_alone(&self) -> bool {
+        self.was_alone
+    }
+
     /// Ends the recovery when its time is over. Returns whether it has ended now.
     pub fn take_recovered(&mut self, now: PolicyTime) -> bool {
         let is_over = self.state == Reachability::Recovering && now >= self.recovers_at;
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -25,7 +25,7 @@
 use super::endpoint_state::{EjectionCounts, EndpointState, RecentObjects, typical_latency};
 use super::notices::{EndpointIncarnation, NoticeRegister};
 use super::outlier::AttemptOutcome;
-use super::reachability::ReachabilityTracker;
+use super::reachability::{Reachability, ReachabilityTracker};
 use super::record::{ConfigRecord, FleetBounds, RouteRecord, ServiceRecord};
 use super::region_share::{RegionShares, region_shares};
 use super::restore::RestoreTracker;
@@ -255,6 +255,7 @@
         report: Option<LoadReport>,
     ) -> bool {
         self.record_reach(now, key, outcome);
+        let is_isolated = self.reachability.state() == Reachability::Isolated;
         let cold_start = self.service_record(service).map(|record| record.cold_start);
         let Some(service) = self.services.get_mut(service) else {
             return false;
@@ -270,6 +271,9 @@
             state.reported_at = now;
         }
         let is_response = matches!(outcome, AttemptOutcome::Answered(_) | AttemptOutcome::Shed);
+        if is_response || outcome.is_path_failure() {
+            state.record_baseline(now, !is_response);
+        }
         match outcome {
             AttemptOutcome::Unreachable => {
                 state.cold_after_recovery = cold_start;
@@ -278,6 +282,8 @@
             AttemptOutcome::Silent => {
                 state.cold_after_recovery.get_or_insert(REGISTRATION_DELAY);
             }
+            // Only a connection from before the isolation can carry it: the endpoint has not restarted.
+            _ if is_response && is_isolated => state.cold_after_recovery = None,
             _ if is_response => {
                 if let Some(span) = state.cold_after_recovery.take() {
                     state.become_cold(now, span);
@@ -285,7 +291,9 @@
             }
             _ => {}
         }
-        state.outlier.record(now, outcome, typical_latency_ms)
+        // Failures of an isolated instance say nothing about the endpoint.
+        let is_counted = !(is_isolated && outcome.is_path_failure());
+        is_counted && state.outlier.record(now, outcome, typical_latency_ms)
     }
 
     /// Records what an endpoint stated about itself in a response to an attempt.
