--- a/crates/jackdawmux_entry/examples/soak.rs
+++ b/crates/jackdawmux_entry/examples/soak.rs
@@ -23,6 +23,7 @@
     callers: usize,
     seconds: u64,
     restores: usize,
+    partitions: usize,
 }
 
 fn parser() -> OptionParser<SoakFlags> {
@@ -39,6 +40,10 @@
         .help("Restores of the store from an older copy per run")
         .argument("COUNT")
         .fallback(0);
+    let partitions = long("partitions")
+        .help("Partitions of fronts from all endpoints per run")
+        .argument("COUNT")
+        .fallback(0);
     construct!(SoakFlags {
         first_seed,
         seeds,
@@ -47,7 +52,8 @@
         endpoints,
         callers,
         seconds,
-        restores
+        restores,
+        partitions
     })
     .to_options()
     .descr("Runs real front processes under random faults and checks their promises")
@@ -90,6 +96,7 @@
         callers: flags.callers,
         fault_duration: Duration::from_secs(flags.seconds),
         restores: flags.restores,
+        partitions: flags.partitions,
     };
     let permits = Arc::new(Semaphore::new(flags.parallel));
     let mut runs = JoinSet::new();
--- a/crates/jackdawmux_runtime/src/sockets.rs
+++ b/crates/jackdawmux_runtime/src/sockets.rs
@@ -38,7 +38,8 @@
     }
 }
 
-/// Keepalive probes that may stay unanswered (`TCP_KEEPCNT`).
+/// Keepalive probes that may stay unanswered (`TCP_KEEPCNT`). The user timeout decides first: a
+/// connection without traffic ends when one probe has stayed unanswered for an interval.
 const MAX_UNANSWERED_PROBES: u32 = 2;
 
 /// Sets the socket options of a connection from a caller.
--- a/crates/jackdawmux_soak/src/checks/mod.rs
+++ b/crates/jackdawmux_soak/src/checks/mod.rs
@@ -1,5 +1,6 @@
 //! Checks of the promises against what callers and endpoints recorded during a run.
 
+mod partitions;
 mod processes;
 mod requests;
 mod updates;
@@ -49,6 +50,8 @@
     ColdIsSpared,
     /// Lookups do not return fronts that have exited.
     LookupIsFresh,
+    /// Callers of fronts that reach no endpoint are served nearly as often as the others.
+    PartitionIsBridged,
     /// Requests succeed again after the faults.
     ServiceRecovers,
 }
@@ -113,6 +116,7 @@
     checker.check_stops();
     checker.check_cold_rate();
     checker.check_lookups();
+    checker.check_partitions();
     checker.check_recovery();
     for text in &observations.events.failures {
         checker.report(SoakPromise::ProcessLives, text.clone());
--- a/crates/jackdawmux_soak/src/fleet.rs
+++ b/crates/jackdawmux_soak/src/fleet.rs
@@ -11,13 +11,14 @@
 use jackdawmux_platform_standins::endpoint::{Behaviour, EndpointRegistration, EndpointStandin};
 use jackdawmux_platform_standins::machine::MachineConfig;
 use jackdawmux_platform_standins::manifest::{FIRST_SERVICE, SECOND_SERVICE, manifest_for};
+use jackdawmux_platform_standins::partition::EndpointLinks;
 use jackdawmux_platform_standins::store::{StoreObject, StoreStandin};
 use tokio::time::{sleep, timeout};
 
 use crate::child::{KillOnDropChild, spawn_front};
 use crate::disturbance::DisturbanceLog;
 use crate::proxy::LinkProxy;
-use crate::record::{ExclusionRecord, FrontProcessRecord, VersionRecord};
+use crate::record::{ExclusionRecord, FrontProcessRecord, PartitionRecord, VersionRecord};
 use crate::run::SoakSize;
 
 /// Failure domains with their regions.
@@ -56,6 +57,8 @@
     pub caller_link: LinkProxy,
     /// Link from the front to the store.
     pub store_link: LinkProxy,
+    /// Links from the front to all endpoints.
+    pub endpoint_links: EndpointLinks,
     /// The process; none while the front is down.
     pub child: Mutex<Option<KillOnDropChild>>,
     /// Number of process starts so far.
@@ -113,6 +116,8 @@
     pub drains: Vec<ExclusionRecord>,
     /// Evacuations of failure domains.
     pub evacuations: Vec<ExclusionRecord>,
+    /// Partitions of fronts from all endpoints.
+    pub partitions: Vec<PartitionRecord>,
     /// Front processes, in the order of their starts.
     pub front_processes: Vec<FrontProcessRecord>,
     /// Unexpected exits, planned stops that failed or took too long, and faults that could not be
@@ -279,6 +284,9 @@
         let standin = EndpointStandin::bind(&format!("i-{number}"), Behaviour::Answer).await;
         standin.set_service_time(SERVICE_TIME);
         let link = LinkProxy::bind(standin.address).await?;
+        for front in &self.fronts {
+            front.endpoint_links.add(link.address).await?;
+        }
         let service = if position.is_multiple_of(2) { FIRST_SERVICE } else { SECOND_SERVICE };
         let domain = DOMAINS[position / 2 % DOMAINS.len()].0;
         let cold_since = is_cold.then(Instant::now);
@@ -303,7 +311,8 @@
     let host = u8::try_from(number % INSTANCES_PER_BLOCK).map_err(io::Error::other)? + 1;
     let ip = IpAddr::V4(Ipv4Addr::new(127, FIRST_BLOCK_OCTET + high, low, host));
     let port = find_free_ports(ip)?;
-    let store_link = LinkProxy::bind(store.address).await?;
+    let endpoint_links = EndpointLinks::open(store).await;
+    let store_link = LinkProxy::bind(endpoint_links.view.address).await?;
     let config = MachineConfig {
         name: format!("front-{index}"),
         domain: DOMAINS[index % DOMAINS.len()].0.to_owned(),
@@ -313,7 +322,7 @@
     };
     let caller_link = LinkProxy::bind(config.address()).await?;
     let (child, starts) = (Mutex::new(None), AtomicU64::new(0));
-    Ok(SoakFront { config, caller_link, store_link, child, starts })
+    Ok(SoakFront { config, caller_link, store_link, endpoint_links, child, starts })
 }
 
 /// Finds consecutive free ports and returns the first. No other instance that this process starts
--- a/crates/jackdawmux_soak/src/inject.rs
+++ b/crates/jackdawmux_soak/src/inject.rs
@@ -14,7 +14,7 @@
 use crate::disturbance::DisturbedComponent;
 use crate::fleet::{DOMAINS, SoakEndpoint, SoakFleet};
 use crate::plan::{FaultKind, PlannedFault};
-use crate::record::ExclusionRecord;
+use crate::record::{ExclusionRecord, PartitionRecord};
 
 /// Time that a front has for a planned stop; the `grace` of the fronts' settings.
 pub const STOP_GRACE: Duration = Duration::from_secs(3);
@@ -46,6 +46,7 @@
         FaultKind::CallerLink | FaultKind::StoreLink => {
             inject_front_link_fault(&fleet, fault).await
         }
+        FaultKind::FrontPartitioned => partition_fronts(&fleet, fault).await,
         FaultKind::EndpointLink => inject_endpoint_link_fault(&fleet, fault).await,
         FaultKind::StoreDown => take_store_down(&fleet, fault).await,
         FaultKind::HistoryDropped => drop_history(&fleet, fault),
@@ -230,6 +231,26 @@
     Ok(())
 }
 
+/// Partitions fronts that follow each other from all endpoints. A partition that overlaps another one
+/// of the same front takes its place, and the first end ends both.
+async fn partition_fronts(fleet: &SoakFleet, fault: PlannedFault) -> io::Result<()> {
+    let (kind, count) = fault.partition;
+    let first = front_index(fleet, fault);
+    let partitioned: Vec<usize> =
+        (0..count).map(|offset| (first + offset) % fleet.fronts.len()).collect();
+    let started_at = Instant::now();
+    for front in &partitioned {
+        fleet.fronts[*front].endpoint_links.cut(kind);
+    }
+    sleep(fault.duration).await;
+    for front in &partitioned {
+        fleet.fronts[*front].endpoint_links.heal();
+    }
+    let ended_at = Instant::now();
+    fleet.events().partitions.push(PartitionRecord { fronts: partitioned, started_at, ended_at });
+    Ok(())
+}
+
 async fn inject_endpoint_link_fault(fleet: &SoakFleet, fault: PlannedFault) -> io::Result<()> {
     let endpoint = Arc::clone(&*fleet.active_endpoints[endpoint_index(fleet, fault)].lock().await);
     let component = DisturbedComponent::Endpoint(endpoint.standin.id.clone());
--- a/crates/jackdawmux_soak/src/plan.rs
+++ b/crates/jackdawmux_soak/src/plan.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use jackdawmux_platform_standins::endpoint::Behaviour;
+use jackdawmux_platform_standins::partition::PartitionKind;
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt};
 use strum::{Display, EnumIter, IntoEnumIterator};
@@ -49,6 +50,9 @@
     StoreLink,
     /// Link fault between the fronts and an endpoint.
     EndpointLink,
+    /// Some fronts are partitioned from all endpoints; everything else reaches them. Planned by
+    /// [`generate_partitions`] only.
+    FrontPartitioned,
     /// The store refuses every call.
     StoreDown,
     /// The store drops its watch history.
@@ -83,6 +87,9 @@
     pub target: usize,
     /// Link fault; used by the link kinds only.
     pub link_fault: LinkFault,
+    /// Kind of partition and number of partitioned fronts; used by [`FaultKind::FrontPartitioned`]
+    /// only.
+    pub partition: (PartitionKind, usize),
     /// Endpoint behaviour; used by [`FaultKind::EndpointFails`] only.
     pub behaviour: Behaviour,
 }
@@ -102,6 +109,10 @@
     Behaviour::Slow,
 ];
 
+/// Kinds of partition that [`FaultKind::FrontPartitioned`] chooses from.
+const PARTITION_KINDS: [PartitionKind; 3] =
+    [PartitionKind::Hang, PartitionKind::Reset, PartitionKind::RefuseNew];
+
 /// Generates the faults of a run. The last one ends no later than `duration`.
 pub fn generate_plan(rng: &mut impl Rng, duration: Duration) -> Vec<PlannedFault> {
     let mut faults = Vec::new();
@@ -131,9 +142,42 @@
         .collect()
 }
 
+/// Generates partitions of fronts from all endpoints, in addition to the other faults, whose draws
+/// they do not change. One in three affects most fronts, and one in six all.
+pub fn generate_partitions(
+    rng: &mut impl Rng,
+    duration: Duration,
+    count: usize,
+    fronts: usize,
+) -> Vec<PlannedFault> {
+    let latest = duration.mul_f64(0.7);
+    (0..count)
+        .map(|_| {
+            let start_offset = latest.mul_f64(rng.random_range(0.05..1.0));
+            let partitioned = match rng.random_range(0..6) {
+                0 => fronts,
+                1 | 2 => fronts.saturating_sub(1).max(1),
+                _ => 1,
+            };
+            let kind = *PARTITION_KINDS.choose(rng).expect("there are kinds");
+            let duration = Duration::from_millis(rng.random_range(2_000..9_000));
+            PlannedFault {
+                kind: FaultKind::FrontPartitioned,
+                duration,
+                partition: (kind, partitioned),
+                ..generate_fault(rng, start_offset, start_offset + duration)
+            }
+        })
+        .collect()
+}
+
 fn generate_fault(rng: &mut impl Rng, start_offset: Duration, end: Duration) -> PlannedFault {
-    let is_drawn =
-        |kind: &FaultKind| !matches!(kind, FaultKind::SoakStalled | FaultKind::StoreRestored);
+    let is_drawn = |kind: &FaultKind| {
+        !matches!(
+            kind,
+            FaultKind::SoakStalled | FaultKind::StoreRestored | FaultKind::FrontPartitioned
+        )
+    };
     let kinds: Vec<FaultKind> = FaultKind::iter().filter(is_drawn).collect();
     let kind = *kinds.choose(rng).expect("there are kinds");
     let is_evacuation = kind == FaultKind::DomainEvacuated;
@@ -147,6 +191,7 @@
         duration: duration.min(end - start_offset),
         kind,
         target: rng.random_range(0..1_000),
+        partition: (PartitionKind::Hang, 1),
         link_fault: *link_faults.choose(rng).expect("there are link faults"),
         behaviour: *FAILURE_BEHAVIOURS.choose(rng).expect("there are behaviours"),
     }
--- a/crates/jackdawmux_soak/src/record.rs
+++ b/crates/jackdawmux_soak/src/record.rs
@@ -114,6 +114,17 @@
     pub revoked_at: Option<Instant>,
 }
 
+/// A time in which fronts were partitioned from all endpoints.
+#[derive(Clone, Debug)]
+pub struct PartitionRecord {
+    /// Indexes of the fronts.
+    pub fronts: Vec<usize>,
+    /// When the partition began.
+    pub started_at: Instant,
+    /// When it ended, or another one of the same front was ended with it.
+    pub ended_at: Instant,
+}
+
 /// Lifetime of one front process.
 #[derive(Clone, Copy, Debug)]
 pub struct FrontProcessRecord {
--- a/crates/jackdawmux_soak/src/run.rs
+++ b/crates/jackdawmux_soak/src/run.rs
@@ -19,7 +19,7 @@
 use crate::disturbance::{DisturbanceView, DisturbedComponent};
 use crate::fleet::SoakFleet;
 use crate::inject::inject;
-use crate::plan::{FaultKind, PlannedFault, generate_plan, generate_restores};
+use crate::plan::{FaultKind, PlannedFault, generate_partitions, generate_plan, generate_restores};
 use crate::record::RequestOutcome;
 
 /// Time after the last fault within which service must recover: a stability window, the time of a
@@ -50,6 +50,8 @@
     pub fault_duration: Duration,
     /// Restores of the store from an older copy.
     pub restores: usize,
+    /// Partitions of fronts from all endpoints.
+    pub partitions: usize,
 }
 
 /// Result of a run.
@@ -106,6 +108,9 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut plan = generate_plan(&mut rng, size.fault_duration);
     plan.extend(generate_restores(&mut rng, size.fault_duration, size.restores));
+    let partitions =
+        generate_partitions(&mut rng, size.fault_duration, size.partitions, size.fronts);
+    plan.extend(partitions);
     plan.sort_by_key(|fault| fault.start_offset);
     let (shutdown, shutdown_receiver) = watch::channel(false);
     let mut callers = JoinSet::new();
