policy: an endpoint that wants no requests now does not keep the others ejected

Cause: ejections are lifted if most eligible endpoints are ejected, as somebody has to take the requests. An endpoint that is paused or limited counted as one that could, so of two the ejected one stayed out. A refusal with reason limited needs an empty list of candidates, and an unlimited, eligible endpoint that has not been attempted is left out of it by an ejection only.

Change: endpoints that are held off do not count. With one endpoint left, any ejection is lifted.

Before: an_ejected_endpoint_is_used_if_the_others_want_no_requests red (Paused, 5.6 s). After: passes, with all of jackdawmux_policy.

--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -363,7 +363,10 @@
         // Endpoints whose failure domain is unknown share an extra entry at the end.
         capacity.push(0.0);
         for state in service.endpoints.iter().filter(|state| is_eligible(state)) {
-            counts.add(state.outlier.ejection(now));
+            // One that wants no requests now cannot stand in for an ejected one.
+            if state.hold_off(now).is_zero() {
+                counts.add(state.outlier.ejection(now));
+            }
             capacity[state.region] += state.slots();
         }
         let shares = self.shares(&capacity);
--- a/crates/jackdawmux_policy/tests/endpoint_notices.rs
+++ b/crates/jackdawmux_policy/tests/endpoint_notices.rs
@@ -139,6 +139,20 @@
 }
 
 /// An outage of the source that ended at `ended_at`; registrations that lapsed are kept for a while.
+/// Guards against callers who are refused until a pause ends, because the only other endpoint stays
+/// ejected as if the paused one could take its requests.
+#[test]
+fn an_ejected_endpoint_is_used_if_the_others_want_no_requests() {
+    let mut steering = front(2);
+    let paused = choose(&mut steering, at(10), 1).expect("an endpoint is usable");
+    steering.record_notice(at(20), &paused, pause(5_000));
+    let other = choose(&mut steering, at(30), 1).expect("the other endpoint is usable");
+    assert_ne!(other.key, paused.key);
+    steering.finish(at(40), SERVICE, other.key, AttemptOutcome::Misdirected, None);
+    let again = choose(&mut steering, at(50), 1).expect("the only endpoint left is used");
+    assert_eq!(again.key, other.key);
+}
+
 fn end_outage(steering: &mut FleetSteering, ended_at: PolicyTime) {
     steering.record_source_recovery(ended_at, Duration::from_secs(3));
 }
