front: attempts stay bounded while an instance recovers; room for the headers of the hop

An instance that recovers without a peer attempts endpoints itself, and the bound on connections that fail was lifted for it: each request could have gone through all endpoints, 300 ms each. It is now three endpoints and two peers. A caller's header section just below the limit exceeded the peer's with the headers of the hop; the address for other instances now allows 1 KiB more.

--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -112,7 +112,8 @@
         let source: Arc<dyn FleetSource> =
             Arc::new(RelayedSource::open(source, Arc::clone(&state)).context(RelaySnafu)?);
         let router = relay_router(Arc::clone(&state));
-        let relay = listen("relay-listen", settings.heartbeat_listen, router, &limits).await?;
+        let peer_limits = state.peer_limits.subscribe();
+        let relay = listen("relay-listen", settings.heartbeat_listen, router, &peer_limits).await?;
         // Heartbeats and reads from the relay use the same port, which the registration names.
         let socket = Arc::new(bind_datagrams(relay.address).await?);
         let router = front_router(Arc::clone(&state));
--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -66,6 +66,8 @@
     pub(crate) forwarded: Arc<Semaphore>,
     peer_suspicions: Mutex<RelaySuspicions>,
     pub(crate) limits: watch::Sender<ListenerLimits>,
+    /// Limits of the address for other instances.
+    pub(crate) peer_limits: watch::Sender<ListenerLimits>,
     pub(crate) incarnation: u64,
     pub(crate) connectivity: Arc<SourceConnectivity>,
     pub(crate) relay: RelayHub,
@@ -107,6 +109,7 @@
         let bounds = settings.bounds.clone();
         let (own, domain) = (&settings.instance, &settings.domain);
         let steering = FleetSteering::new(own, domain, Arc::clone(&regions), bounds);
+        let peer_limits = watch::Sender::new(*limits.borrow());
         let capacity = usize::try_from(settings.capacity_permille).unwrap_or(usize::MAX);
         let max_forwarded = (capacity / CAPACITY_PER_FORWARDED).max(MIN_FORWARDED);
         let directory = InstanceDirectory::new(&settings.instance, regions);
@@ -118,6 +121,7 @@
             peers: UpstreamPool::default(),
             forwarded: Arc::new(Semaphore::new(max_forwarded)),
             peer_suspicions: Mutex::default(),
+            peer_limits,
             limits,
             incarnation: rand::random(),
             connectivity: Arc::default(),
--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -31,6 +31,9 @@
 /// request leave many idle ones.
 const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// Bytes that a forwarded request has in addition to the caller's header section.
+const MAX_HOP_HEADER_BYTES: usize = 1_024;
+
 /// Time for which a peer may be ahead before the source is asked again: the instances read each
 /// change at slightly different times.
 const BEHIND_GRACE: Duration = Duration::from_millis(500);
@@ -306,12 +309,15 @@
     fn apply_limits(&self, limits: &CallerLimits) {
         let max_connections =
             self.state.settings.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(1);
-        self.state.limits.send_replace(ListenerLimits {
+        let limits = ListenerLimits {
             max_connections,
             max_header_bytes: limits.max_header_bytes,
             header_timeout: limits.header_timeout,
             idle_timeout: limits.idle_timeout.min(MAX_IDLE_TIMEOUT),
-        });
+        };
+        self.state.limits.send_replace(limits);
+        let max_header_bytes = limits.max_header_bytes.saturating_add(MAX_HOP_HEADER_BYTES);
+        self.state.peer_limits.send_replace(ListenerLimits { max_header_bytes, ..limits });
     }
 
     fn set_evacuated(&self, domain: &str, is_evacuated: bool, position: SourcePosition) {
--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -24,6 +24,7 @@
 use super::body::{BodyError, RequestBody, ResponseBody, buffer_response};
 use super::guard::AttemptGuard;
 use super::hop::mark_endpoint;
+use super::peer_attempt::MAX_PEERS;
 use super::plan::RequestPlan;
 use super::refusal::FrontRefusal;
 use super::streamed_response::{OpenResponse, stream_response};
@@ -157,7 +158,7 @@
             self.sent.set(may_have_run);
             let may_retry = (!may_have_run || !self.plan.is_at_most_once())
                 && self.delivered < self.plan.route.max_attempts
-                && (unreachable < MAX_CONNECT_FAILURES || self.is_isolated())
+                && unreachable < self.max_connect_failures()
                 && self.body.is_sendable()
                 && self.time_left() >= MIN_RETRY_TIME_LEFT;
             if !may_retry {
@@ -216,8 +217,10 @@
         self.plan.deadline.since(self.state.clock.now())
     }
 
-    fn is_isolated(&self) -> bool {
-        self.state.steering().reachability().is_isolated()
+    /// Connections that may fail to open, to endpoints and, once this instance is isolated, to peers.
+    fn max_connect_failures(&self) -> usize {
+        let is_isolated = self.state.steering().reachability().is_isolated();
+        MAX_CONNECT_FAILURES + if is_isolated { MAX_PEERS } else { 0 }
     }
 
     /// Chooses an endpoint, or a peer while this instance reaches no endpoint. A request takes one hop
--- a/crates/jackdawmux_front/src/request/peer_attempt.rs
+++ b/crates/jackdawmux_front/src/request/peer_attempt.rs
@@ -1,7 +1,6 @@
 //! Forwards a request to a peer while this instance reaches no endpoint.
 
 use axum::http::Response;
-use axum::http::header::CONNECTION;
 use hyper::body::Incoming;
 use jackdawmux_policy::fleet::choice::{EndpointChoice, EndpointKey};
 use jackdawmux_policy::fleet::forwarding::{PeerQuery, select_peer};
@@ -14,7 +13,7 @@
 use crate::upstream::{Exchange, ExchangeOutcome, PooledConnection, exchange};
 
 /// Peers that one request may be offered to.
-const MAX_PEERS: usize = 2;
+pub(super) const MAX_PEERS: usize = 2;
 
 impl ForwardTask<'_> {
     /// Selects a peer that has not been offered the request yet.
@@ -98,10 +97,8 @@
         mut response: Response<Incoming>,
         connection: PooledConnection,
     ) -> AttemptResult {
-        let guard = AttemptGuard::for_peer(self.state, self.plan.deadline);
         if take_declined(response.headers_mut()).is_some() {
             self.log_entry.record_outcome("declined");
-            drop(guard);
             return AttemptResult::NotRun(FrontRefusal::Isolated);
         }
         if let Some((key, started_ms, id)) = take_endpoint(response.headers_mut()) {
@@ -117,7 +114,7 @@
             let stated = self.state.dialect.read_response(response.status(), response.headers());
             self.record_notice(&choice, &stated);
         }
-        response.headers_mut().remove(CONNECTION);
+        let guard = AttemptGuard::for_peer(self.state, self.plan.deadline);
         match self.read_body(response, connection, guard).await {
             AttemptResult::Failed(response) => AttemptResult::Final(response),
             AttemptResult::Lost => {
