--- a/crates/jackdawmux_soak/tests/checks.rs
+++ b/crates/jackdawmux_soak/tests/checks.rs
@@ -7,12 +7,15 @@
 use jackdawmux_platform_standins::endpoint::{Behaviour, EndpointStandin};
 use jackdawmux_platform_standins::manifest::{FIRST_SERVICE, SECOND_SERVICE};
 use jackdawmux_soak::checks::{RunObservations, SoakPromise, check_run};
-use jackdawmux_soak::disturbance::{DisturbanceSpan, DisturbanceView, DisturbedComponent};
+use jackdawmux_soak::disturbance::{
+    DisturbanceSpan, DisturbanceView, DisturbedComponent, STABILITY_WINDOW,
+};
 use jackdawmux_soak::fleet::{FleetLog, SoakEndpoint};
 use jackdawmux_soak::plan::FaultKind;
 use jackdawmux_soak::proxy::LinkProxy;
 use jackdawmux_soak::record::{
-    ExclusionRecord, RequestKind, RequestOutcome, RequestRecord, VersionRecord,
+    ExclusionRecord, FrontProcessRecord, PartitionRecord, RequestKind, RequestOutcome,
+    RequestRecord, VersionRecord,
 };
 use rstest::rstest;
 
@@ -204,3 +207,74 @@
     |run| run.events.failures.push("front 0 exited unexpectedly".to_owned()),
     ProcessLives
 );
+
+/// Requests of a run in which front 0 is partitioned and front 1 is not. Each of them sends 20, of
+/// which `served` are answered at front 0.
+fn partitioned_requests(started_at: Instant, served: usize) -> Vec<RequestRecord> {
+    let request = |front: usize, index: usize| {
+        let is_served = front == 1 || index < served;
+        let status = if is_served { "200 OK" } else { "503 Service Unavailable" };
+        let attempt_id = format!("c{front}-{index}");
+        let text = format!(
+            "HTTP/1.1 {status}\r\nX-Attempt-Id: {attempt_id}\r\nX-Response-Stamp: 1\r\n\r\nfor {attempt_id}"
+        );
+        let sent_at = started_at + STABILITY_WINDOW + Duration::from_millis(100);
+        RequestRecord {
+            attempt_id,
+            front,
+            start_number: 1,
+            kind: RequestKind::Read,
+            target: "GET /look/1".to_owned(),
+            body: String::new(),
+            sent_at,
+            ended_at: sent_at + Duration::from_millis(20),
+            caller_timeout: Duration::from_secs(1),
+            outcome: RequestOutcome::Answered(CallerResponse { text, is_complete: true }),
+        }
+    };
+    (0..2).flat_map(|front| (0..20).map(move |index| request(front, index))).collect()
+}
+
+/// Guards against a soak that does not notice that callers of a partitioned front are not served.
+#[rstest]
+#[case::unserved(0, false, true)]
+#[case::served_nearly_as_often(14, false, false)]
+#[case::all_fronts_are_partitioned(0, true, false)]
+fn callers_of_partitioned_fronts_are_compared(
+    #[case] served: usize,
+    #[case] is_other_partitioned: bool,
+    #[case] is_found: bool,
+) {
+    let started_at = Instant::now();
+    let partition = |front: usize| PartitionRecord {
+        fronts: vec![front],
+        started_at,
+        ended_at: started_at + LONG_AGO,
+    };
+    let process = |front: usize| FrontProcessRecord {
+        front,
+        start_number: 1,
+        started_at,
+        exited_at: None,
+        stop_requested_at: None,
+    };
+    let mut partitions = vec![partition(0)];
+    if is_other_partitioned {
+        partitions.push(partition(1));
+    }
+    let front_processes = vec![process(0), process(1)];
+    let events = FleetLog { partitions, front_processes, ..FleetLog::default() };
+    let requests = partitioned_requests(started_at, served);
+    let observations = RunObservations {
+        requests: &requests,
+        lookups: &[],
+        endpoints: &[],
+        events: &events,
+        disturbances: DisturbanceView(&[]),
+        recovery_due_at: started_at,
+    };
+    let violations = check_run(&observations);
+    let is_bridged =
+        violations.iter().all(|violation| violation.promise != SoakPromise::PartitionIsBridged);
+    assert_eq!(!is_bridged, is_found, "{violations:?}");
+}
