front: a request that may have run is not refused by the peer

Callers would see: 503 (not run) for a repeatable request that an endpoint had run when the partition began; the instance lost the response, and the peer that it offered the request to refused it, not knowing of that attempt.

Cause: whatever a peer responded was final. A refusal of the peer's own is true only for the peer's attempts.

Change: after attempts of its own an instance takes a peer's refusal as one of several attempts; the caller gets 502 if no other one succeeds. Requests that must not be repeated were not affected: they have no second attempt.

--- a/crates/jackdawmux_front/src/request/peer_attempt.rs
+++ b/crates/jackdawmux_front/src/request/peer_attempt.rs
@@ -1,6 +1,6 @@
 //! Forwards a request to a peer while this instance reaches no endpoint.
 
-use axum::http::Response;
+use axum::http::{Response, StatusCode};
 use hyper::body::Incoming;
 use jackdawmux_policy::fleet::choice::{EndpointChoice, EndpointKey};
 use jackdawmux_policy::fleet::forwarding::{PeerQuery, select_peer};
@@ -101,7 +101,14 @@
             self.log_entry.record_outcome("declined");
             return AttemptResult::NotRun(FrontRefusal::Isolated);
         }
-        if let Some((key, started_ms, id)) = take_endpoint(response.headers_mut()) {
+        let endpoint = take_endpoint(response.headers_mut());
+        let is_refused = endpoint.is_none() && response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        if is_refused && self.delivered > 0 {
+            // The peer does not know of the attempts that were made here.
+            self.log_entry.record_outcome("refused");
+            return AttemptResult::NotRun(FrontRefusal::Isolated);
+        }
+        if let Some((key, started_ms, id)) = endpoint {
             let choice = EndpointChoice {
                 key,
                 id: id.into(),
