--- a/crates/jackdawmux_entry/src/front/native.rs
+++ b/crates/jackdawmux_entry/src/front/native.rs
@@ -173,6 +173,9 @@
             grace: Duration::from_millis(flags.grace_ms),
             max_lookup_ttl: MAX_LOOKUP_TTL,
             update_deadline: UPDATE_DEADLINE,
+            config_deadline: UPDATE_DEADLINE,
+            teams: None,
+            has_pressure: false,
         },
     }
 }
--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -178,6 +178,7 @@
             domain: settings.domain.clone(),
             capacity_permille: settings.capacity_permille,
             incarnation: state.incarnation,
+            cap_address: None,
         };
         tasks.spawn(register(record, Arc::clone(&source), Arc::clone(&state)));
         let ticks = timers.every(CLEANUP_INTERVAL);
--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -252,6 +252,7 @@
         let query = EndpointQuery {
             service: &self.plan.service,
             route: &self.plan.route,
+            team: None,
             object: self.plan.object_hash,
             attempted: &self.attempted,
             is_retry: self.delivered > 0,
--- a/crates/jackdawmux_native/src/instances.rs
+++ b/crates/jackdawmux_native/src/instances.rs
@@ -60,6 +60,7 @@
             domain: stored.domain,
             capacity_permille: stored.capacity_permille,
             incarnation: stored.incarnation,
+            cap_address: None,
         });
         records.collect()
     }
--- a/crates/jackdawmux_native/tests/native.rs
+++ b/crates/jackdawmux_native/tests/native.rs
@@ -97,6 +97,9 @@
             grace: Duration::from_secs(1),
             max_lookup_ttl: Duration::from_secs(5),
             update_deadline: Duration::from_secs(2),
+            config_deadline: Duration::from_secs(2),
+            teams: None,
+            has_pressure: false,
         },
     }
 }
--- a/crates/jackdawmux_policy/src/fleet/choice.rs
+++ b/crates/jackdawmux_policy/src/fleet/choice.rs
@@ -8,7 +8,7 @@
 use strum::Display;
 
 use super::endpoint_limit::LimitRate;
-use super::record::RouteRecord;
+use super::record::{RouteRecord, TeamRecord};
 use crate::identity::stable_hash;
 
 /// Identity of an endpoint within this process: the hash of its registered identity.
@@ -32,6 +32,8 @@
     pub waiting: u32,
     /// Number of requests that the endpoint can process concurrently.
     pub slots: u32,
+    /// How long work takes on its machine now, in percent of the usual time; none if not stated.
+    pub work_percent: Option<u32>,
 }
 
 /// What a response says about the limit of its endpoint.
@@ -88,6 +90,8 @@
     pub service: &'query str,
     /// Route that the request matched.
     pub route: &'query RouteRecord,
+    /// Team of the request; none if it carries no key.
+    pub team: Option<&'query TeamRecord>,
     /// Hash of the object, or of the request if it is not routed by object.
     pub object: u64,
     /// Endpoints that earlier attempts of the request went to.
@@ -98,6 +102,14 @@
     pub connected: Option<ConnectedOnly<'query>>,
 }
 
+impl EndpointQuery<'_> {
+    /// Returns the priority of the request; 0 is the highest.
+    #[must_use]
+    pub fn priority(&self) -> u32 {
+        self.team.and_then(|team| team.priority).unwrap_or(self.route.priority)
+    }
+}
+
 /// The endpoint chosen for an attempt.
 #[derive(Clone, Debug)]
 pub struct EndpointChoice {
--- a/crates/jackdawmux_policy/src/fleet/record.rs
+++ b/crates/jackdawmux_policy/src/fleet/record.rs
@@ -1,6 +1,7 @@
 //! Records of the deployment's configuration and registrations, as the operator, the endpoints and
 //! the instances publish them.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -53,6 +54,9 @@
     pub capacity_permille: u32,
     /// Random number drawn at each start of the process.
     pub incarnation: u64,
+    /// Address that receives requests for tokens of request caps; none if the instance holds no caps.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cap_address: Option<SocketAddr>,
 }
 
 /// Whether a request may run more than once.
@@ -98,6 +102,51 @@
     pub homes: SmallVec<[String; 2]>,
     /// Services that the route sends requests to; at least one.
     pub targets: SmallVec<[RouteTarget; 2]>,
+    /// Whether requests need no key although the configuration has teams.
+    #[serde(default)]
+    pub is_public: bool,
+}
+
+/// Secret key by which a request names its team.
+#[derive(Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TeamKey(String);
+
+impl TeamKey {
+    /// Creates a key from its text.
+    #[must_use]
+    pub const fn new(text: String) -> Self {
+        Self(text)
+    }
+
+    /// Returns the text, which must not reach a log, a metric, an error or an endpoint.
+    #[must_use]
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for TeamKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("TeamKey(hidden)")
+    }
+}
+
+/// A team whose requests carry one of its keys.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TeamRecord {
+    /// Name, unique in the configuration.
+    pub name: String,
+    /// Keys that belong to the team.
+    pub keys: SmallVec<[TeamKey; 2]>,
+    /// Priority of its requests, which replaces that of the route; none if it has none of its own.
+    pub priority: Option<u32>,
+    /// Requests per second allowed over all instances together; zero for no limit.
+    pub rate: f64,
+    /// Requests allowed in addition to the rate.
+    pub burst: f64,
+    /// Regions in which its requests may be served; empty for all.
+    pub homes: SmallVec<[String; 2]>,
 }
 
 /// The operator's settings for a service.
@@ -137,6 +186,18 @@
     pub services: Vec<ServiceRecord>,
     /// Limits on what callers may send.
     pub limits: CallerLimits,
+    /// Teams; none if requests carry no keys.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub teams: Option<Vec<TeamRecord>>,
+}
+
+/// Bounds on the withdrawal of keys and on request caps, over all instances.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TeamBounds {
+    /// Time after which no request with a withdrawn key may run; none if no such bound is set.
+    pub revoke: Option<Duration>,
+    /// Whether the request caps of teams are enforced.
+    pub has_caps: bool,
 }
 
 /// Limits from the deployment's settings. The retry and cold start limits apply to all instances
@@ -157,4 +218,11 @@
     pub max_lookup_ttl: Duration,
     /// Time within which an update about the deployment must be applied.
     pub update_deadline: Duration,
+    /// Time within which a configuration must be applied.
+    pub config_deadline: Duration,
+    /// Bounds for teams; none if the deployment has none.
+    pub teams: Option<TeamBounds>,
+    /// Whether requests are steered and admitted by expected wait and cost on all services. Other
+    /// deployments do so only for services whose endpoints state how long work takes.
+    pub has_pressure: bool,
 }
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -357,7 +357,7 @@
         let Some(service) = self.services.get(query.service) else {
             return SmallVec::new();
         };
-        let is_eligible = |state: &EndpointState| self.is_eligible(now, query.route, state);
+        let is_eligible = |state: &EndpointState| self.is_eligible(now, query, state);
         let mut counts = EjectionCounts::default();
         let mut capacity: RegionShares = self.region_names.iter().map(|_| 0.0).collect();
         // Endpoints whose failure domain is unknown share an extra entry at the end.
@@ -399,10 +399,15 @@
 
     /// Returns whether requests of a route may be sent to an endpoint, apart from its ejection and
     /// the pause or limit that it stated.
-    fn is_eligible(&self, now: PolicyTime, route: &RouteRecord, state: &EndpointState) -> bool {
+    fn is_eligible(
+        &self,
+        now: PolicyTime,
+        query: &EndpointQuery<'_>,
+        state: &EndpointState,
+    ) -> bool {
         state.accepts_requests(now)
             && !self.evacuated.contains(&state.record.domain)
-            && self.is_home(route, &state.record.domain)
+            && self.is_home(query, &state.record.domain)
     }
 
     /// Returns the refusal if no endpoint may be chosen. If endpoints have asked for a pause or state
@@ -417,9 +422,7 @@
             .into_iter()
             .flatten()
             .map(|state| (state.hold_off(now), now < state.stated.paused_until, state))
-            .filter(|(wait, _, state)| {
-                !wait.is_zero() && self.is_eligible(now, query.route, state)
-            });
+            .filter(|(wait, _, state)| !wait.is_zero() && self.is_eligible(now, query, state));
         match held_off.min_by_key(|(wait, ..)| *wait) {
             Some((wait, true, _)) => refuse(ChoiceRefusalReason::Paused, wait),
             Some((wait, false, _)) => refuse(ChoiceRefusalReason::Limited, wait),
@@ -458,7 +461,7 @@
         let next = ranked.find(|(_, index)| self.is_warm(now, query.service, *index));
         let next_load =
             next.map_or(f64::INFINITY, |(_, next)| self.load_of(now, query.service, next));
-        let is_high = query.route.priority <= LOWEST_HIGH_PRIORITY;
+        let is_high = query.priority() <= LOWEST_HIGH_PRIORITY;
         let limit = if is_high { MAX_LOAD_HIGH_PRIORITY } else { MAX_LOAD_LOW_PRIORITY };
         let is_next_better = if query.route.is_sticky {
             load >= limit && next_load < MAX_SPILLOVER_LOAD
@@ -525,8 +528,13 @@
         self.table.as_ref()?.service(name)
     }
 
-    fn is_home(&self, route: &RouteRecord, domain: &str) -> bool {
-        route.homes.is_empty()
-            || self.regions.get(domain).is_some_and(|region| route.homes.contains(region))
+    /// Returns whether a request may be served in a failure domain. The homes of its route and of its
+    /// team both apply.
+    fn is_home(&self, query: &EndpointQuery<'_>, domain: &str) -> bool {
+        let region = self.regions.get(domain);
+        let is_allowed = |homes: &[String]| {
+            homes.is_empty() || region.is_some_and(|region| homes.contains(region))
+        };
+        is_allowed(&query.route.homes) && query.team.is_none_or(|team| is_allowed(&team.homes))
     }
 }
--- a/crates/jackdawmux_policy/tests/endpoint_limits.rs
+++ b/crates/jackdawmux_policy/tests/endpoint_limits.rs
@@ -120,6 +120,7 @@
     let query = EndpointQuery {
         service: SERVICE,
         route: &route,
+        team: None,
         object,
         attempted: &[],
         is_retry: false,
@@ -225,6 +226,7 @@
     let query = EndpointQuery {
         service: SERVICE,
         route: &route,
+        team: None,
         object: 1,
         attempted: &[],
         is_retry: false,
--- a/crates/jackdawmux_policy/tests/endpoint_notices.rs
+++ b/crates/jackdawmux_policy/tests/endpoint_notices.rs
@@ -43,6 +43,7 @@
     let query = EndpointQuery {
         service: SERVICE,
         route: &route,
+        team: None,
         object,
         attempted: &[],
         is_retry: false,
--- a/crates/jackdawmux_policy/tests/fleet_rules.rs
+++ b/crates/jackdawmux_policy/tests/fleet_rules.rs
@@ -38,6 +38,7 @@
     EndpointQuery {
         service: SERVICE,
         route,
+        team: None,
         object,
         attempted: &[],
         is_retry: false,
@@ -381,6 +382,7 @@
         domain: domain.to_owned(),
         capacity_permille,
         incarnation: 1,
+        cap_address: None,
     }
 }
 
--- a/crates/jackdawmux_policy/tests/forwarding.rs
+++ b/crates/jackdawmux_policy/tests/forwarding.rs
@@ -17,6 +17,7 @@
         domain: "a".to_owned(),
         capacity_permille,
         incarnation: 1,
+        cap_address: None,
     }
 }
 
--- a/crates/jackdawmux_policy/tests/heartbeat_fan_out.rs
+++ b/crates/jackdawmux_policy/tests/heartbeat_fan_out.rs
@@ -27,6 +27,7 @@
         domain: format!("{region}-a"),
         capacity_permille: 500,
         incarnation: 1,
+        cap_address: None,
     }
 }
 
--- a/crates/jackdawmux_policy/tests/isolation.rs
+++ b/crates/jackdawmux_policy/tests/isolation.rs
@@ -26,6 +26,7 @@
     EndpointQuery {
         service: SERVICE,
         route,
+        team: None,
         object,
         attempted: &[],
         is_retry: false,
--- a/crates/jackdawmux_policy/tests/relays.rs
+++ b/crates/jackdawmux_policy/tests/relays.rs
@@ -29,6 +29,7 @@
         domain: DOMAINS[usize::from(index) % DOMAINS.len()].to_owned(),
         capacity_permille: if index.is_multiple_of(7) { 500 } else { 250 },
         incarnation: 1,
+        cap_address: None,
     }
 }
 
--- a/crates/jackdawmux_policy/tests/restore_model.rs
+++ b/crates/jackdawmux_policy/tests/restore_model.rs
@@ -262,6 +262,7 @@
         let query = EndpointQuery {
             service: SERVICE,
             route: &route,
+            team: None,
             object: 1,
             attempted: &[],
             is_retry: false,
--- a/crates/jackdawmux_policy/tests/support/fleet_fixtures.rs
+++ b/crates/jackdawmux_policy/tests/support/fleet_fixtures.rs
@@ -28,6 +28,9 @@
         grace: Duration::from_secs(6),
         max_lookup_ttl: Duration::from_secs(5),
         update_deadline: Duration::from_secs(2),
+        config_deadline: Duration::from_secs(2),
+        teams: None,
+        has_pressure: false,
     }
 }
 
@@ -45,6 +48,7 @@
         is_sticky: true,
         homes: smallvec![],
         targets: smallvec![RouteTarget { service: SERVICE.to_owned(), weight: 1 }],
+        is_public: false,
     }
 }
 
@@ -65,6 +69,7 @@
             header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
+        teams: None,
     }
 }
 
--- a/crates/jackdawmux_policy/tests/support/warm_fleet.rs
+++ b/crates/jackdawmux_policy/tests/support/warm_fleet.rs
@@ -196,6 +196,7 @@
         let query = EndpointQuery {
             service: SERVICE,
             route: &self.route,
+            team: None,
             object: hash,
             attempted: &[],
             is_retry: false,
@@ -271,6 +272,7 @@
             running: u32::try_from(model.running).expect("the count fits"),
             waiting: u32::try_from(model.waiting.len()).expect("the count fits"),
             slots: u32::try_from(self.shape.slots).expect("the count fits"),
+            work_percent: None,
         }
     }
 }
--- a/crates/jackdawmux_policy/tests/tombstones.rs
+++ b/crates/jackdawmux_policy/tests/tombstones.rs
@@ -41,6 +41,7 @@
     let query = EndpointQuery {
         service: SERVICE,
         route: &route,
+        team: None,
         object: 1,
         attempted: &[],
         is_retry: false,
--- a/crates/jackdawmux_policy/tests/update_model.rs
+++ b/crates/jackdawmux_policy/tests/update_model.rs
@@ -339,6 +339,7 @@
     let query = EndpointQuery {
         service: SERVICE,
         route: &route,
+        team: None,
         object: 1,
         attempted: &[],
         is_retry: false,
--- a/crates/jackdawmux_rules/src/fleet.rs
+++ b/crates/jackdawmux_rules/src/fleet.rs
@@ -38,6 +38,7 @@
             routes: Vec::new(),
             services: Vec::new(),
             limits: DEFAULT_LIMITS,
+            teams: None,
         };
         let mut drained_domains = BTreeSet::new();
         for rule in &self.lines {
--- a/crates/jackdawmux_rules/src/statement.rs
+++ b/crates/jackdawmux_rules/src/statement.rs
@@ -251,6 +251,7 @@
         is_sticky,
         homes,
         targets,
+        is_public: false,
     }))
 }
 
