policy, front: admission by expected wait, priority, deadline and fair share

Services whose endpoints state the fourth load figure, and all services with has_pressure, are now limited by the expected wait once the usual work is known. Limits follow from the target latency, the active priorities and the team's share. All others are admitted as before.

No deployment was measured.

The literals of EndpointQuery in existing tests get the new field; the simulated fleet gets kinds of callers. No check was changed.

--- a/crates/jackdawmux_front/src/request/access_log.rs
+++ b/crates/jackdawmux_front/src/request/access_log.rs
@@ -78,13 +78,14 @@
             .collect();
         log::info!(
             "event=request request={} route={} object={} service={} config={} status={} reason={reason} \
-             elapsed_ms={} allowed_ms={} sends={} origin={}",
+             priority={} elapsed_ms={} allowed_ms={} sends={} origin={}",
             plan.attempt_text(),
             plan.route.name,
             plan.object_text(),
             plan.service,
             plan.table.version(),
             status.as_u16(),
+            plan.route.priority,
             elapsed.as_millis(),
             plan.deadline.since(plan.started).as_millis(),
             if attempts.is_empty() { "none".to_owned() } else { attempts.join(",") },
--- a/crates/jackdawmux_front/src/request/guard.rs
+++ b/crates/jackdawmux_front/src/request/guard.rs
@@ -4,6 +4,7 @@
 
 use jackdawmux_policy::clock::PolicyTime;
 use jackdawmux_policy::fleet::choice::{EndpointChoice, EndpointKey, LoadReport};
+use jackdawmux_policy::fleet::fair_share::ShareKey;
 use jackdawmux_policy::fleet::outlier::AttemptOutcome;
 
 use crate::process::FrontState;
@@ -19,6 +20,7 @@
     started: PolicyTime,
     deadline: PolicyTime,
     load: Option<LoadReport>,
+    share: Option<ShareKey>,
     /// Whether the object is warm at the endpoint, as far as this instance knows. The latency of a
     /// cold object does not reflect the endpoint's health and is not recorded.
     is_warm: bool,
@@ -41,6 +43,7 @@
             endpoint: choice.key,
             deadline,
             load: None,
+            share: choice.share,
             is_warm: choice.is_warm,
             is_finished: false,
             is_peer: false,
@@ -56,6 +59,7 @@
             endpoint: EndpointKey(0),
             deadline,
             load: None,
+            share: None,
             is_warm: false,
             is_finished: false,
             is_peer: true,
@@ -98,6 +102,9 @@
         let now = self.state.clock.now();
         let mut steering = self.state.steering();
         let is_ejected = steering.finish(now, &self.service, self.endpoint, outcome, self.load);
+        if let Some(share) = self.share {
+            steering.end_share(&self.service, share);
+        }
         if matches!(outcome, AttemptOutcome::Unreachable | AttemptOutcome::Silent) {
             self.state.probe_due.notify_one();
         }
--- a/crates/jackdawmux_front/src/request/peer_attempt.rs
+++ b/crates/jackdawmux_front/src/request/peer_attempt.rs
@@ -117,6 +117,7 @@
                 rank: 0,
                 is_warm: false,
                 is_limited: false,
+                share: None,
             };
             let stated = self.state.dialect.read_response(response.status(), response.headers());
             self.record_notice(&choice, &stated);
--- a/crates/jackdawmux_front/src/request/refusal.rs
+++ b/crates/jackdawmux_front/src/request/refusal.rs
@@ -103,19 +103,33 @@
         }
     }
 
-    /// Whether the endpoints that are left want no requests for some time, or cannot be reached.
+    /// Draws a retry-after delay at random, so that callers do not retry all at once. A refusal that
+    /// states the longest delay sets the range itself.
+    fn spread(self, retry_after: Duration) -> Duration {
+        match self {
+            Self::NotChosen(ChoiceRefusal { max_retry_after: Some(max), .. }) => {
+                rand::random_range(retry_after.min(max)..=max)
+            }
+            _ => retry_after.mul_f64(rand::random_range(1.0..1.0 + RETRY_AFTER_SPREAD)),
+        }
+    }
+
+    /// Whether the endpoints that are left want no requests for some time, cannot be reached, or have
+    /// a longer wait than the request may have.
     pub(crate) const fn is_held_off(self) -> bool {
         if matches!(self, Self::Isolated) {
             return true;
         }
-        let Self::NotChosen(ChoiceRefusal { reason, .. }) = self else {
+        let Self::NotChosen(ChoiceRefusal { reason, max_retry_after, .. }) = self else {
             return false;
         };
-        matches!(reason, ChoiceRefusalReason::Paused | ChoiceRefusalReason::Limited)
+        let is_stated =
+            matches!(reason, ChoiceRefusalReason::Paused | ChoiceRefusalReason::Limited);
+        is_stated || max_retry_after.is_some()
     }
 
     /// Kind of the refusal, without the details of the decision.
-    fn kind(self) -> String {
+    pub(crate) fn kind(self) -> String {
         let text = self.to_string();
         text.split(' ').next().unwrap_or_default().to_owned()
     }
@@ -133,8 +147,7 @@
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
         if let Some(retry_after) = self.retry_after() {
-            let spread = rand::random_range(1.0..1.0 + RETRY_AFTER_SPREAD);
-            let seconds = format!("{:.3}", retry_after.as_secs_f64() * spread);
+            let seconds = format!("{:.3}", self.spread(retry_after).as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
                 headers.insert(RETRY_AFTER, value);
             }
--- a/crates/jackdawmux_front/src/request/serve.rs
+++ b/crates/jackdawmux_front/src/request/serve.rs
@@ -7,7 +7,7 @@
 use axum::body::Body;
 use axum::extract::State;
 use axum::http::header::{CONNECTION, HOST};
-use axum::http::{HeaderName, HeaderValue, Request, Response};
+use axum::http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use jackdawmux_policy::fleet::record::RepeatRule;
 use jackdawmux_runtime::ReadAheadFilter;
 use tokio::time::timeout_at;
@@ -95,6 +95,9 @@
         }
         Err(refusal) => {
             log_entry.write(state, plan, refusal.status(), &refusal.to_string());
+            if plan.hop.is_none() && refusal.status() == StatusCode::SERVICE_UNAVAILABLE {
+                state.metrics.count_refusal(&plan.service, &refusal.kind(), plan.route.priority);
+            }
             let mut response = refusal.response();
             let is_declined = matches!(refusal, FrontRefusal::Isolated | FrontRefusal::Stopping);
             if plan.hop.is_some() && is_declined {
--- a/crates/jackdawmux_policy/src/fleet/choice.rs
+++ b/crates/jackdawmux_policy/src/fleet/choice.rs
@@ -8,7 +8,9 @@
 use strum::Display;
 
 use super::endpoint_limit::LimitRate;
+use super::fair_share::ShareKey;
 use super::record::{RouteRecord, TeamRecord};
+use crate::clock::PolicyTime;
 use crate::identity::stable_hash;
 
 /// Identity of an endpoint within this process: the hash of its registered identity.
@@ -83,6 +85,23 @@
     pub is_preferred_only: bool,
 }
 
+/// When a request began and when its caller stops waiting.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestTimes {
+    /// When this instance got the request.
+    pub began: PolicyTime,
+    /// When its caller stops waiting.
+    pub deadline: PolicyTime,
+}
+
+impl RequestTimes {
+    /// Returns the times of a request of a route that begins now.
+    #[must_use]
+    pub fn starting(now: PolicyTime, route: &RouteRecord) -> Self {
+        Self { began: now, deadline: now + route.timeout }
+    }
+}
+
 /// Query for the endpoint of one attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct EndpointQuery<'query> {
@@ -100,6 +119,8 @@
     pub is_retry: bool,
     /// Restriction to endpoints with open connections; none if connections can be opened.
     pub connected: Option<ConnectedOnly<'query>>,
+    /// Start and deadline of the request; `None` if it begins now and has the timeout of its route.
+    pub times: Option<RequestTimes>,
 }
 
 impl EndpointQuery<'_> {
@@ -127,6 +148,8 @@
     pub is_warm: bool,
     /// Whether the endpoint had stated a limit when it was chosen.
     pub is_limited: bool,
+    /// Team in whose share the request is counted until it ends; `None` if it is not counted.
+    pub share: Option<ShareKey>,
 }
 
 /// Why no endpoint was chosen.
@@ -145,6 +168,14 @@
     Paused,
     /// This instance has used up its share of the limits that the usable endpoints state.
     Limited,
+    /// The request cannot end before its deadline.
+    Deadline,
+    /// Requests of higher priority would be late if it waited.
+    LowPriority,
+    /// The team has more requests in progress than its fair share while the endpoints are loaded.
+    OverShare,
+    /// The response would be late, and would make others late.
+    Late,
 }
 
 /// Refusal of a query, with the delay after which a retry makes sense.
@@ -154,8 +185,24 @@
     pub reason: ChoiceRefusalReason,
     /// Retry-after delay to suggest to the caller.
     pub retry_after: Duration,
+    /// Longest retry-after delay if it is to be drawn at random from `retry_after` to this; `None` if
+    /// the front spreads it as usual.
+    pub max_retry_after: Option<Duration>,
     /// Load of the endpoint that would have been chosen, if the refusal depends on it.
     pub load: Option<LoadView>,
+    /// Expected wait of the request, if the refusal depends on it.
+    pub wait: Option<WaitView>,
+}
+
+/// Expected wait of a request at the time of a decision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WaitView {
+    /// Time until the endpoint is expected to start the request.
+    pub wait: Duration,
+    /// Limit that the wait was compared with.
+    pub limit: Duration,
+    /// Time that the endpoint is expected to need for the request.
+    pub work: Duration,
 }
 
 /// Load of an endpoint at the time of a decision.
@@ -172,6 +219,10 @@
 impl fmt::Display for ChoiceRefusal {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.reason.fmt(formatter)?;
+        if let Some(WaitView { wait, limit, work }) = self.wait {
+            let [wait, limit, work] = [wait, limit, work].map(|span| span.as_millis());
+            write!(formatter, " wait_ms={wait} limit_ms={limit} work_ms={work}")?;
+        }
         let Some(LoadView { load, limit, report_age }) = self.load else {
             return Ok(());
         };
@@ -181,5 +232,5 @@
 }
 
 pub(super) const fn refuse(reason: ChoiceRefusalReason, retry_after: Duration) -> ChoiceRefusal {
-    ChoiceRefusal { reason, retry_after, load: None }
+    ChoiceRefusal { reason, retry_after, max_retry_after: None, load: None, wait: None }
 }
--- a/crates/jackdawmux_policy/src/fleet/mod.rs
+++ b/crates/jackdawmux_policy/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! coordination. Limits that apply to the whole fleet (retries, requests to a cold or limited endpoint) are
 //! divided among the instances.
 
+pub mod admission;
 pub mod affinity;
 pub mod backoff;
 pub mod choice;
@@ -13,6 +14,7 @@
 pub mod directory;
 pub mod endpoint_limit;
 pub mod endpoint_state;
+pub mod fair_share;
 pub mod forwarding;
 pub mod freshness;
 mod notices;
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -4,6 +4,7 @@
 //! recently needs only a fraction of the time. A request goes to the next endpoint in the object's
 //! preference order only if the preferred one is full, cold, failing or leaving.
 
+mod admission;
 mod isolation;
 mod registrations;
 mod restore_facts;
@@ -14,6 +15,8 @@
 
 use smallvec::SmallVec;
 
+use self::admission::WorkEstimate;
+use super::admission::ActiveKinds;
 use super::affinity::rendezvous_score;
 use super::backoff::endpoint_pause;
 use super::choice::{
@@ -23,6 +26,7 @@
 use super::cold_start::{COLD_WINDOW, cold_share};
 use super::crash_record::CrashRecord;
 use super::endpoint_state::{EjectionCounts, EndpointState, RecentObjects, typical_latency};
+use super::fair_share::FairShare;
 use super::notices::{EndpointIncarnation, NoticeRegister};
 use super::outlier::AttemptOutcome;
 use super::reachability::{Reachability, ReachabilityTracker};
@@ -63,6 +67,9 @@
     endpoints: Vec<EndpointState>,
     retries: RetryShare,
     typical_latency_ms: f64,
+    work: WorkEstimate,
+    kinds: ActiveKinds,
+    shares: FairShare,
 }
 
 /// An outage of the update source as seen by this instance.
@@ -218,6 +225,7 @@
             return Err(self.refuse_without_candidates(now, query));
         }
         let (rank, index) = self.pick(now, query, &candidates)?;
+        self.admit(now, query, index)?;
         let instances = self.instances.len();
         let service = self.services.entry(query.service.to_owned()).or_default();
         if query.is_retry && !service.retries.spend(now, &self.bounds, instances) {
@@ -226,6 +234,8 @@
         if !query.is_retry {
             service.retries.count_request(now, self.bounds.retry_window);
         }
+        let share = self.start_share(query);
+        let service = self.services.entry(query.service.to_owned()).or_default();
         let state = &mut service.endpoints[index];
         let is_warm = self.recent.record(query.object, state.key);
         state.outlier.start_probe(now);
@@ -242,6 +252,7 @@
             rank,
             is_warm,
             is_limited,
+            share,
         })
     }
 
@@ -260,6 +271,7 @@
         let Some(service) = self.services.get_mut(service) else {
             return false;
         };
+        service.work.record(now, outcome, report);
         let typical_latency_ms = service.typical_latency_ms;
         let Some(state) = service.endpoints.iter_mut().find(|state| state.key == key) else {
             return false;
@@ -470,7 +482,8 @@
         };
         match next {
             Some(next) if is_next_better => Ok(next),
-            _ if load < limit => Ok((rank, index)),
+            // Requests of services with estimates are limited by their expected wait instead.
+            _ if load < limit || self.usual_work(query.service).is_some() => Ok((rank, index)),
             _ => {
                 let report_age = self.report_age(now, query.service, index);
                 let load = Some(LoadView { load, limit, report_age });
--- a/crates/jackdawmux_policy/tests/endpoint_notices.rs
+++ b/crates/jackdawmux_policy/tests/endpoint_notices.rs
@@ -48,6 +48,7 @@
         attempted: &[],
         is_retry: false,
         connected: None,
+        times: None,
     };
     let choice = steering.choose(now, &query)?;
     steering.finish(now, SERVICE, choice.key, AttemptOutcome::Cancelled, None);
--- a/crates/jackdawmux_policy/tests/support/warm_fleet.rs
+++ b/crates/jackdawmux_policy/tests/support/warm_fleet.rs
@@ -2,14 +2,19 @@
 //! object that it handled recently, sheds requests if its queue is full, and reports its load with
 //! each response.
 
+#![allow(dead_code, reason = "each test file uses only some of these items")]
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::time::Duration;
 
 use jackdawmux_policy::clock::PolicyTime;
-use jackdawmux_policy::fleet::choice::{EndpointKey, EndpointQuery, LoadReport};
+use jackdawmux_policy::fleet::choice::{
+    ChoiceRefusal, EndpointKey, EndpointQuery, LoadReport, RequestTimes,
+};
+use jackdawmux_policy::fleet::fair_share::ShareKey;
 use jackdawmux_policy::fleet::outlier::AttemptOutcome;
-use jackdawmux_policy::fleet::record::RouteRecord;
+use jackdawmux_policy::fleet::record::{RouteRecord, TeamRecord};
 use jackdawmux_policy::fleet::steering::FleetSteering;
 use jackdawmux_policy::identity::stable_hash;
 use rand::rngs::StdRng;
@@ -30,6 +35,8 @@
     pub work: Duration,
     /// Share of the work that a warm object takes.
     pub warm_share: f64,
+    /// What endpoints report about the speed of their machines.
+    pub work_percent: Option<u32>,
 }
 
 impl FleetShape {
@@ -46,6 +53,7 @@
             per_second: 1_050.0,
             work: Duration::from_millis(262),
             warm_share: 0.3,
+            work_percent: None,
         }
     }
 }
@@ -59,6 +67,26 @@
     pub refused: u32,
 }
 
+/// Callers with the same route and team.
+#[derive(Clone, Debug)]
+pub struct CallerKind {
+    pub route: RouteRecord,
+    pub team: Option<TeamRecord>,
+    /// Share of the arrival rate of the fleet.
+    pub rate_share: f64,
+    /// Region of all objects; `None` for both.
+    pub region: Option<u64>,
+    /// Outcomes of the requests since [`WarmFleet::count_from`].
+    pub count: SecondCount,
+}
+
+impl CallerKind {
+    pub const fn new(route: RouteRecord, rate_share: f64) -> Self {
+        let count = SecondCount { requested: 0, on_time: 0, served: 0, refused: 0 };
+        Self { route, team: None, rate_share, region: None, count }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct EndpointModel {
     running: usize,
@@ -68,6 +96,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Job {
+    kind: usize,
     object: u64,
     front: usize,
     requested_at: u64,
@@ -77,9 +106,12 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
-    Arrival,
+    Arrival {
+        kind: usize,
+    },
     /// A refused caller retries once.
     Retry {
+        kind: usize,
         object: u64,
         requested_at: u64,
     },
@@ -98,7 +130,9 @@
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     order: u64,
     rng: StdRng,
-    route: RouteRecord,
+    pub kinds: Vec<CallerKind>,
+    /// Start of the requests that are counted by kind, in seconds.
+    pub count_from: u64,
     pub seconds: Vec<SecondCount>,
     /// Factor applied to the arrival rate.
     pub surge: f64,
@@ -123,14 +157,21 @@
             events: BinaryHeap::new(),
             order: 0,
             rng: StdRng::seed_from_u64(seed),
-            route: route(),
+            kinds: Vec::new(),
+            count_from: 0,
             seconds: Vec::new(),
             surge: 1.0,
         };
-        fleet.push(0, Event::Arrival);
+        fleet.add_kind(CallerKind::new(route(), 1.0));
         fleet
     }
 
+    /// Adds callers, whose requests begin at the start.
+    pub fn add_kind(&mut self, kind: CallerKind) {
+        self.push(0, Event::Arrival { kind: self.kinds.len() });
+        self.kinds.push(kind);
+    }
+
     /// Makes all objects cold at all endpoints.
     pub fn clear_objects(&mut self) {
         for endpoint in &mut self.endpoints {
@@ -149,8 +190,10 @@
                 return;
             };
             match event {
-                Event::Arrival => self.arrive(at),
-                Event::Retry { object, requested_at } => self.send(at, object, requested_at),
+                Event::Arrival { kind } => self.arrive(at, kind),
+                Event::Retry { kind, object, requested_at } => {
+                    self.send(at, kind, object, requested_at);
+                }
                 Event::Done { endpoint, job } => self.complete(at, endpoint, job),
             }
         }
@@ -177,59 +220,93 @@
         &mut self.seconds[second]
     }
 
-    fn arrive(&mut self, at: u64) {
-        let rate = self.shape.per_second * self.surge;
+    fn arrive(&mut self, at: u64, kind: usize) {
+        let rate = self.shape.per_second * self.surge * self.kinds[kind].rate_share;
         let draw: f64 = self.rng.random_range(1e-9..1.0);
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a short gap")]
         let gap = (-draw.ln() / rate * 1e6) as u64;
-        self.push(at + gap.max(1), Event::Arrival);
-        self.count(at).requested += 1;
+        self.push(at + gap.max(1), Event::Arrival { kind });
+        self.record(at, kind, |count| count.requested += 1);
         let object = self.rng.random_range(0..self.shape.objects);
-        self.send(at, object, at);
+        let object = self.kinds[kind].region.map_or(object, |region| object / 2 * 2 + region);
+        self.send(at, kind, object, at);
     }
 
-    fn send(&mut self, at: u64, object: u64, requested_at: u64) {
+    fn send(&mut self, at: u64, kind: usize, object: u64, requested_at: u64) {
         // An object belongs to one region, and its callers use that region's fronts.
         let region = usize::from(object % 2 == 1);
         let front = self.rng.random_range(0..(self.fronts.len() - region).div_ceil(2)) * 2 + region;
         let hash = stable_hash(&object.to_be_bytes());
+        let callers = &self.kinds[kind];
+        let deadline = PolicyTime(requested_at) + callers.route.timeout;
         let query = EndpointQuery {
             service: SERVICE,
-            route: &self.route,
-            team: None,
+            route: &callers.route,
+            team: callers.team.as_ref(),
             object: hash,
             attempted: &[],
             is_retry: false,
             connected: None,
+            times: Some(RequestTimes { began: PolicyTime(at), deadline }),
         };
-        let Ok(choice) = self.fronts[front].choose(PolicyTime(at), &query) else {
-            self.refuse(at, object, requested_at);
-            return;
+        let chosen = self.fronts[front].choose(PolicyTime(at), &query);
+        let choice = match chosen {
+            Ok(choice) => choice,
+            Err(refusal) => return self.refuse(at, kind, object, requested_at, Some(refusal)),
         };
         let index = self.keys[&choice.key];
-        let job = Job { object, front, requested_at, sent_at: at, is_warm: choice.is_warm };
+        let job = Job { kind, object, front, requested_at, sent_at: at, is_warm: choice.is_warm };
         let model = &mut self.endpoints[index];
         if model.running < self.shape.slots {
             self.start(at, index, job);
         } else if model.waiting.len() < self.shape.queue {
             model.waiting.push_back(job);
         } else {
-            let report = self.report(index);
-            let front = &mut self.fronts[front];
-            front.finish(PolicyTime(at), SERVICE, choice.key, AttemptOutcome::Shed, Some(report));
-            self.refuse(at, object, requested_at);
+            self.end(at, index, job, AttemptOutcome::Shed);
+            self.refuse(at, kind, object, requested_at, None);
         }
     }
 
-    fn refuse(&mut self, at: u64, object: u64, requested_at: u64) {
+    fn refuse(
+        &mut self,
+        at: u64,
+        kind: usize,
+        object: u64,
+        requested_at: u64,
+        refusal: Option<ChoiceRefusal>,
+    ) {
+        let stated = refusal.and_then(|refusal| {
+            let max = refusal.max_retry_after?;
+            Some(refusal.retry_after.as_micros()..=max.as_micros())
+        });
+        let delay = match stated {
+            Some(range) => u64::try_from(self.rng.random_range(range)).expect("the delay fits"),
+            None => self.rng.random_range(120_000..180_000),
+        };
         if at == requested_at {
-            let delay = self.rng.random_range(120_000..180_000);
-            self.push(at + delay, Event::Retry { object, requested_at });
+            self.push(at + delay.max(1), Event::Retry { kind, object, requested_at });
         } else {
-            self.count(requested_at).refused += 1;
+            self.record(requested_at, kind, |count| count.refused += 1);
+        }
+    }
+
+    /// Counts an outcome in the second and in the kind of its request.
+    fn record(&mut self, at: u64, kind: usize, add: impl Fn(&mut SecondCount)) {
+        add(self.count(at));
+        if at >= self.count_from * 1_000_000 {
+            add(&mut self.kinds[kind].count);
         }
     }
 
+    /// Ends a request at the front that sent it.
+    fn end(&mut self, at: u64, index: usize, job: Job, outcome: AttemptOutcome) {
+        let key = EndpointKey::of(&endpoint(u16::try_from(index).expect("the index fits")).id);
+        let report = self.report(index);
+        let front = &mut self.fronts[job.front];
+        front.finish(PolicyTime(at), SERVICE, key, outcome, Some(report));
+        front.end_share(SERVICE, ShareKey::of(self.kinds[job.kind].team.as_ref()));
+    }
+
     fn start(&mut self, at: u64, index: usize, job: Job) {
         let shape = self.shape;
         let model = &mut self.endpoints[index];
@@ -252,18 +329,21 @@
             model.warm_objects.pop_front();
         }
         let next = model.waiting.pop_front();
-        let report = self.report(index);
+        let outcome =
+            AttemptOutcome::Answered(job.is_warm.then(|| Duration::from_micros(at - job.sent_at)));
+        self.end(at, index, job, outcome);
         if let Some(next) = next {
             self.start(at, index, next);
         }
-        let key = EndpointKey::of(&endpoint(u16::try_from(index).expect("the index fits")).id);
-        let outcome =
-            AttemptOutcome::Answered(job.is_warm.then(|| Duration::from_micros(at - job.sent_at)));
-        self.fronts[job.front].finish(PolicyTime(at), SERVICE, key, outcome, Some(report));
-        let latency = at - job.requested_at;
-        let count = self.count(job.requested_at);
-        count.served += u32::from(latency <= 1_200_000);
-        count.on_time += u32::from(latency <= 200_000);
+        let latency = Duration::from_micros(at - job.requested_at);
+        let (target, timeout) = {
+            let route = &self.kinds[job.kind].route;
+            (route.target_latency.min(route.timeout), route.timeout)
+        };
+        self.record(job.requested_at, job.kind, |count| {
+            count.served += u32::from(latency <= timeout);
+            count.on_time += u32::from(latency <= target);
+        });
     }
 
     fn report(&self, index: usize) -> LoadReport {
@@ -272,7 +352,7 @@
             running: u32::try_from(model.running).expect("the count fits"),
             waiting: u32::try_from(model.waiting.len()).expect("the count fits"),
             slots: u32::try_from(self.shape.slots).expect("the count fits"),
-            work_percent: None,
+            work_percent: self.shape.work_percent,
         }
     }
 }
--- a/crates/jackdawmux_runtime/src/metrics.rs
+++ b/crates/jackdawmux_runtime/src/metrics.rs
@@ -29,6 +29,7 @@
     latency: Histogram<f64>,
     retries: Counter<u64>,
     forwarded: Counter<u64>,
+    refusals: Counter<u64>,
     config_version: Gauge<u64>,
     isolated: Gauge<u64>,
     alarms: Counter<u64>,
@@ -57,6 +58,7 @@
             retries: meter.u64_counter("jackdawmux_retries").build(),
             isolated: meter.u64_gauge("jackdawmux_isolated").build(),
             forwarded: meter.u64_counter("jackdawmux_forwarded_requests").build(),
+            refusals: meter.u64_counter("jackdawmux_refusals").build(),
             config_version: meter.u64_gauge("jackdawmux_config_version").build(),
             alarms: meter.u64_counter("jackdawmux_alarms").build(),
             registry,
@@ -84,6 +86,16 @@
         self.forwarded.add(1, &[KeyValue::new("direction", direction)]);
     }
 
+    /// Counts a request to `service` that was refused without running.
+    pub fn count_refusal(&self, service: &str, reason: &str, priority: u32) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("reason", reason.to_owned()),
+            KeyValue::new("priority", i64::from(priority)),
+        ];
+        self.refusals.add(1, &labels);
+    }
+
     /// Sets the version of the active configuration.
     pub fn set_config_version(&self, version: u64) {
         self.config_version.record(version, &[]);
