policy: limits on the wait for any number of priorities; no rule for late requests

The limit now falls by 0.58 with each rank, without a lower end.

Ruled out: a lower excess limit for the last rank, which would only move the same fault.

--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -11,7 +11,7 @@
 use jackdawmux_policy::fleet::backoff::MAX_PAUSE;
 use jackdawmux_policy::fleet::choice::{
     ConnectedOnly, EndpointChoice, EndpointKey, EndpointNotice, EndpointQuery, LimitStatement,
-    NoticeEffect, RequestTimes,
+    NoticeEffect,
 };
 use jackdawmux_policy::fleet::outlier::AttemptOutcome;
 use jackdawmux_policy::fleet::reachability::Reachability;
@@ -257,7 +257,7 @@
             attempted: &self.attempted,
             is_retry: self.delivered > 0,
             connected,
-            times: Some(RequestTimes { began: self.plan.started, deadline: self.plan.deadline }),
+            deadline: Some(self.plan.deadline),
         };
         let now = self.state.clock.now();
         self.state.steering().choose(now, &query).map_err(FrontRefusal::NotChosen)
--- a/crates/jackdawmux_policy/src/fleet/admission.rs
+++ b/crates/jackdawmux_policy/src/fleet/admission.rs
@@ -14,10 +14,10 @@
 use super::fair_share::ShareStanding;
 use crate::clock::PolicyTime;
 
-/// Limits on the wait by rank of urgency, as a share of the wait of the most urgent kind. The last
-/// entry is the reduced limit of the least urgent kinds. The step continues the ratio of the load
-/// limits for high and low priority without estimates, (1.7 - 1) / (2.2 - 1) = 0.58.
-const LIMIT_SHARES: [f64; 4] = [1.0, 0.58, 0.34, 0.2];
+/// Limit on the wait of a kind of requests as a multiple of that of the next more urgent kind. It
+/// continues the ratio of the load limits for low and high priority without estimates,
+/// (1.7 - 1) / (2.2 - 1) = 0.58.
+const RANK_STEP: f64 = 0.58;
 /// Share of the time that the target latency leaves after the work which a request may wait. The rest
 /// covers work that takes longer than usual and requests of other instances that the latest report of
 /// the endpoint does not contain. In simulated overload (`tests/admission.rs`), 1.0 let up to 15 % of
@@ -49,8 +49,6 @@
     pub wait: Duration,
     /// Time that the endpoint is expected to need for it.
     pub work: Duration,
-    /// Remaining time within the target latency of the request.
-    pub target_left: Duration,
     /// Remaining time until the deadline.
     pub time_left: Duration,
     /// Use of the service by the team of the request.
@@ -81,18 +79,15 @@
         return Err(refuse(case, ChoiceRefusalReason::Deadline, limit));
     }
     let top = wait_limit(case);
-    let rank = case.urgency.rank.min(LIMIT_SHARES.len() - 2);
-    let rank_limit = top.mul_f64(LIMIT_SHARES[rank]);
-    let reduction = if is_late(case) { 1.0 } else { excess_reduction(case.standing.excess) };
-    let reduced = LIMIT_SHARES[rank] - reduction * (LIMIT_SHARES[rank] - LIMIT_SHARES[rank + 1]);
+    let [share, next] = [0, 1].map(|step| rank_share(case.urgency.rank + step));
+    let reduced = (share - excess_reduction(case.standing.excess) * (share - next)).max(next);
     let limit = if case.standing.is_underserved { top } else { top.mul_f64(reduced) };
     if case.wait <= limit {
         return Ok(());
     }
     let reason = match case.wait {
         wait if wait > top => ChoiceRefusalReason::Full,
-        wait if wait > rank_limit => ChoiceRefusalReason::LowPriority,
-        _ if is_late(case) => ChoiceRefusalReason::Late,
+        wait if wait > top.mul_f64(share) => ChoiceRefusalReason::LowPriority,
         _ => ChoiceRefusalReason::OverShare,
     };
     Err(refuse(case, reason, limit))
@@ -105,12 +100,12 @@
     spare.clamp(case.work.mul_f64(MIN_WAIT), case.work.mul_f64(MAX_WAIT))
 }
 
-/// Returns whether the response would be late although the target latency can be met. If the work
-/// alone takes longer than the target latency, all requests are late and none is preferred.
-fn is_late(case: &AdmissionCase) -> bool {
-    case.work <= case.urgency.target && case.wait + case.work > case.target_left
+/// Returns the limit of a rank of urgency as a share of that of the most urgent kind.
+fn rank_share(rank: usize) -> f64 {
+    RANK_STEP.powi(i32::try_from(rank).unwrap_or(i32::MAX))
 }
 
+/// Returns how far the limit of a team is lowered towards that of the next rank; one is all the way.
 fn excess_reduction(excess: f64) -> f64 {
     ((excess - 1.0) / (FULL_EXCESS - 1.0)).clamp(0.0, 1.0)
 }
--- a/crates/jackdawmux_policy/src/fleet/choice.rs
+++ b/crates/jackdawmux_policy/src/fleet/choice.rs
@@ -85,23 +85,6 @@
     pub is_preferred_only: bool,
 }
 
-/// When a request began and when its caller stops waiting.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RequestTimes {
-    /// When this instance got the request.
-    pub began: PolicyTime,
-    /// When its caller stops waiting.
-    pub deadline: PolicyTime,
-}
-
-impl RequestTimes {
-    /// Returns the times of a request of a route that begins now.
-    #[must_use]
-    pub fn starting(now: PolicyTime, route: &RouteRecord) -> Self {
-        Self { began: now, deadline: now + route.timeout }
-    }
-}
-
 /// Query for the endpoint of one attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct EndpointQuery<'query> {
@@ -119,8 +102,8 @@
     pub is_retry: bool,
     /// Restriction to endpoints with open connections; none if connections can be opened.
     pub connected: Option<ConnectedOnly<'query>>,
-    /// Start and deadline of the request; `None` if it begins now and has the timeout of its route.
-    pub times: Option<RequestTimes>,
+    /// When the caller stops waiting; `None` if the request begins now and has the timeout of its route.
+    pub deadline: Option<PolicyTime>,
 }
 
 impl EndpointQuery<'_> {
@@ -174,8 +157,6 @@
     LowPriority,
     /// The team has more requests in progress than its fair share while the endpoints are loaded.
     OverShare,
-    /// The response would be late, and would make others late.
-    Late,
 }
 
 /// Refusal of a query, with the delay after which a retry makes sense.
--- a/crates/jackdawmux_policy/src/fleet/steering/admission.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering/admission.rs
@@ -5,7 +5,7 @@
 
 use super::super::admission::{AdmissionCase, admit};
 use super::super::choice::{
-    ChoiceRefusal, ChoiceRefusalReason, EndpointQuery, LoadReport, RequestTimes, WaitView, refuse,
+    ChoiceRefusal, ChoiceRefusalReason, EndpointQuery, LoadReport, WaitView, refuse,
 };
 use super::super::fair_share::ShareKey;
 use super::super::outlier::AttemptOutcome;
@@ -94,15 +94,14 @@
         };
         let (priority, target) = (query.priority(), query.route.target_latency);
         service.kinds.record(now, priority, target);
-        let times = query.times.unwrap_or_else(|| RequestTimes::starting(now, query.route));
+        let deadline = query.deadline.unwrap_or_else(|| now + query.route.timeout);
         let key = ShareKey::of(query.team);
         let is_recent = now.since(service.work.sampled_at) <= WORK_SAMPLE_AGE;
         let case = AdmissionCase {
             urgency: service.kinds.view(now, priority, target),
             wait,
             work,
-            target_left: (times.began + target).since(now),
-            time_left: times.deadline.since(now),
+            time_left: deadline.since(now),
             standing: service.shares.standing(now, key),
         };
         let decision = admit(&case).or_else(|refusal| {
