policy, front: lookups concentrate callers on as few instances as carry the demand

Instances state their request rate in heartbeats; lookups return the instances of highest capacity that carry twice the highest demand of 20 s, at least four, over failure domains. Only in deployments with load pressure, or once an endpoint states the fourth load figure.

--- a/crates/jackdawmux_front/src/process/heartbeat.rs
+++ b/crates/jackdawmux_front/src/process/heartbeat.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ciborium::Value;
 use jackdawmux_policy::fleet::crash_record::SharedCrashes;
 use jackdawmux_policy::fleet::freshness::NewestChanges;
 use kameo::actor::ActorRef;
@@ -27,7 +28,7 @@
 /// crashes.
 const MAX_HEARTBEAT_BYTES: usize = 512;
 /// Elements of an encoded heartbeat.
-const HEARTBEAT_ELEMENTS: usize = 7;
+const HEARTBEAT_ELEMENTS: usize = 8;
 
 /// State that an instance sends to the others at regular intervals.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -49,6 +50,9 @@
     pub config_version: u64,
     /// Whether it reaches no endpoint; false from a sender that does not state it.
     pub is_isolated: bool,
+    /// Requests per second that the sender receives from callers; zero from a sender that does not
+    /// state them.
+    pub request_rate: u32,
 }
 
 impl Serialize for Heartbeat {
@@ -62,6 +66,7 @@
             .serialize_element(&self.newest_changes.map(|change| (change.era, change.revision)))?;
         tuple.serialize_element(&self.config_version)?;
         tuple.serialize_element(&self.is_isolated)?;
+        tuple.serialize_element(&self.request_rate)?;
         tuple.end()
     }
 }
@@ -78,7 +83,7 @@
     type Value = Heartbeat;
 
     fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("a heartbeat of four to seven elements")
+        formatter.write_str("a heartbeat of four to eight elements")
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut elements: A) -> Result<Heartbeat, A::Error> {
@@ -87,12 +92,13 @@
         let is_serving = elements.next_element()?.ok_or_else(|| missing(1))?;
         let source_connected_ms = elements.next_element()?.ok_or_else(|| missing(2))?;
         let crashes = elements.next_element()?.ok_or_else(|| missing(3))?;
-        // Instances of earlier releases send four to six elements.
+        // Instances of earlier releases send four to seven elements.
         let positions: [(u64, u64); WatchTopic::COUNT] =
             elements.next_element()?.unwrap_or_default();
         let newest_changes = positions.map(|(era, revision)| SourcePosition { era, revision });
         let config_version = elements.next_element()?.unwrap_or_default();
         let is_isolated = elements.next_element()?.unwrap_or_default();
+        let request_rate = elements.next_element()?.map(read_rate).unwrap_or_default();
         Ok(Heartbeat {
             instance,
             is_serving,
@@ -101,10 +107,17 @@
             newest_changes,
             config_version,
             is_isolated,
+            request_rate,
         })
     }
 }
 
+/// Reads a rate. A later release may send something else in its place, which must not make the rest
+/// of the heartbeat unreadable.
+fn read_rate(element: Value) -> u32 {
+    element.as_integer().and_then(|rate| u32::try_from(rate).ok()).unwrap_or_default()
+}
+
 /// Encodes a heartbeat.
 ///
 /// # Errors
@@ -140,6 +153,7 @@
         newest_changes: state.freshness().applied(),
         config_version,
         is_isolated,
+        request_rate: state.request_rate(),
     };
     let bytes = match encode_heartbeat(&heartbeat) {
         Ok(bytes) => bytes,
--- a/crates/jackdawmux_front/src/process/lookup.rs
+++ b/crates/jackdawmux_front/src/process/lookup.rs
@@ -35,10 +35,11 @@
     let lookup = state.dialect.read_lookup(query.as_deref().unwrap_or_default());
     let now = state.clock.now();
     let ttl = LOOKUP_TTL.min(state.settings.bounds.max_lookup_ttl);
+    let spread = state.lookup_spread(&lookup.region);
     let addresses: Vec<SocketAddr> = {
         let directory = state.directory();
         let live = directory.live(now);
-        let selected = select_instances(&live, &lookup.region, rand::random());
+        let selected = select_instances(&live, &lookup.region, rand::random(), spread);
         selected.iter().map(|instance| instance.record.address).collect()
     };
     if addresses.is_empty() {
--- a/crates/jackdawmux_front/src/process/mod.rs
+++ b/crates/jackdawmux_front/src/process/mod.rs
@@ -7,6 +7,7 @@
 mod launch;
 mod lookup;
 mod peer_facts;
+mod request_meter;
 mod settings;
 mod state;
 mod state_actor;
--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -8,6 +8,7 @@
 use jackdawmux_policy::fleet::config_freshness::ConfigFreshness;
 use jackdawmux_policy::fleet::directory::InstanceDirectory;
 use jackdawmux_policy::fleet::freshness::FreshnessTracker;
+use jackdawmux_policy::fleet::placement::LookupSpread;
 use jackdawmux_policy::fleet::relay::{ReadPath, RelaySuspicions};
 use jackdawmux_policy::fleet::steering::FleetSteering;
 use jackdawmux_runtime::{ListenerLimits, ProcessClock, ProcessMetrics};
@@ -15,6 +16,7 @@
 use tokio::sync::{Notify, Semaphore, watch};
 
 use super::connectivity::SourceConnectivity;
+use super::request_meter::RequestMeter;
 use super::settings::FrontSettings;
 use crate::dialect::WireDialect;
 use crate::relay::RelayHub;
@@ -95,6 +97,7 @@
     registered_at: Mutex<Option<SourcePosition>>,
     phase: AtomicU8,
     stop: OnceLock<PlannedStop>,
+    request_meter: RequestMeter,
 }
 
 impl FrontState {
@@ -142,6 +145,7 @@
             registered_at: Mutex::default(),
             phase: AtomicU8::new(FrontPhase::Starting as u8),
             stop: OnceLock::new(),
+            request_meter: RequestMeter::default(),
             settings,
         }
     }
@@ -209,6 +213,24 @@
         self.peer_suspicions.lock().unwrap_or_else(PoisonError::into_inner).contains(now, peer)
     }
 
+    /// Counts a request from a caller.
+    pub(crate) fn count_caller_request(&self) {
+        self.request_meter.count();
+    }
+
+    /// Requests per second that callers send here.
+    pub(crate) fn request_rate(&self) -> u32 {
+        self.request_meter.measure(self.clock.now())
+    }
+
+    /// How callers are spread over the instances of their region.
+    pub(crate) fn lookup_spread(&self, region: &str) -> LookupSpread {
+        if !self.steering().is_load_aware() {
+            return LookupSpread::Whole;
+        }
+        LookupSpread::Concentrated(self.directory().demand(region))
+    }
+
     /// Current phase of the process.
     pub(crate) fn phase(&self) -> FrontPhase {
         FrontPhase::from_repr(self.phase.load(Ordering::Relaxed)).unwrap_or(FrontPhase::Starting)
--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -132,6 +132,8 @@
             is_connected,
         );
         self.state.directory().set_isolated(&heartbeat.instance, heartbeat.is_isolated);
+        let rate = f64::from(heartbeat.request_rate);
+        self.state.directory().record_request_rate(&heartbeat.instance, rate);
         let connected = Duration::from_millis(heartbeat.source_connected_ms);
         let mut steering = self.state.steering();
         steering.record_peer_source_connection(now, connected);
@@ -162,6 +164,7 @@
         self.state.pool.close_expired();
         self.state.peers.close_expired();
         self.state.check_reachability(now);
+        self.update_demand(now);
         if self.state.steering().take_settled(now) {
             log::info!("event=restore-settled");
             self.state.is_behind.iter().for_each(Notify::notify_one);
@@ -269,6 +272,13 @@
         }
     }
 
+    fn update_demand(&self, now: PolicyTime) {
+        let rate = f64::from(self.state.request_rate());
+        let mut directory = self.state.directory();
+        directory.record_request_rate(&self.state.settings.instance, rate);
+        directory.update_demand(now);
+    }
+
     /// Requests another registration if a list that is new enough to contain the own one does not.
     fn check_registration(&self, records: &[InstanceRecord], position: SourcePosition) {
         let registered_at = *self.state.registered_at();
--- a/crates/jackdawmux_front/src/request/serve.rs
+++ b/crates/jackdawmux_front/src/request/serve.rs
@@ -53,6 +53,7 @@
     State(state): State<Arc<FrontState>>,
     request: Request<Body>,
 ) -> Response<Body> {
+    state.count_caller_request();
     let (parts, body) = request.into_parts();
     let mut response = match RequestPlan::resolve(&state, parts) {
         Ok(plan) => serve_plan(&state, &plan, body).await,
--- a/crates/jackdawmux_front/tests/heartbeats.rs
+++ b/crates/jackdawmux_front/tests/heartbeats.rs
@@ -20,10 +20,11 @@
         positions in any::<[(u64, u64); 4]>(),
         config_version in any::<u64>(),
         is_isolated in any::<bool>(),
+        request_rate in any::<u32>(),
     ) {
         let newest_changes = positions.map(|(era, revision)| SourcePosition { era, revision });
         let crashes = crashes.into_iter().collect();
-        let heartbeat = Heartbeat { instance, is_serving, source_connected_ms, crashes, newest_changes, config_version, is_isolated };
+        let heartbeat = Heartbeat { instance, is_serving, source_connected_ms, crashes, newest_changes, config_version, is_isolated, request_rate };
         let bytes = encode_heartbeat(&heartbeat).expect("the heartbeat is encoded");
         prop_assert!(bytes.len() <= 512, "{} bytes", bytes.len());
         prop_assert_eq!(decode_heartbeat(&bytes).expect("the heartbeat is decoded"), heartbeat);
@@ -52,6 +53,7 @@
             prop_assert_eq!(heartbeat.newest_changes[0].revision, expected);
             prop_assert_eq!(heartbeat.config_version, 0);
             prop_assert!(!heartbeat.is_isolated);
+            prop_assert_eq!(heartbeat.request_rate, 0);
         }
     }
 
@@ -72,6 +74,7 @@
             newest_changes: Default::default(),
             config_version: 4,
             is_isolated: false,
+            request_rate: 0,
         };
         let bytes = encode_heartbeat(&heartbeat).expect("the heartbeat is encoded");
         prop_assert!(decode_heartbeat(&bytes[..bytes.len() - cut.min(bytes.len())]).is_err());
--- a/crates/jackdawmux_policy/src/fleet/directory.rs
+++ b/crates/jackdawmux_policy/src/fleet/directory.rs
@@ -32,6 +32,17 @@
 /// are divided among the instances.
 const ABANDONED_TIMEOUT: Duration = Duration::from_secs(600);
 
+/// How long the highest demand of a region counts. Shorter pauses in the demand do not move callers
+/// to other instances.
+const DEMAND_HOLD: Duration = Duration::from_secs(20);
+
+/// Highest recent demand of a region.
+#[derive(Clone, Copy, Debug)]
+struct DemandPeak {
+    rate: f64,
+    at: PolicyTime,
+}
+
 /// A registered instance together with its region.
 #[derive(Clone, Copy, Debug)]
 pub struct InstanceView<'view> {
@@ -53,6 +64,8 @@
     has_served: bool,
     /// Whether the source of updates answers it.
     is_connected: bool,
+    /// Requests per second that it receives from callers.
+    request_rate: f64,
 }
 
 /// The instances as seen by this instance.
@@ -67,6 +80,10 @@
     /// When each registration was first seen, for instances that have never sent a heartbeat.
     first_seen: HashMap<String, PolicyTime>,
     is_serving: bool,
+    /// Requests per second that this instance receives from callers.
+    request_rate: f64,
+    /// Highest recent demand by region, in requests per second.
+    demand: HashMap<String, DemandPeak>,
 }
 
 impl InstanceDirectory {
@@ -81,6 +98,8 @@
             isolated: HashSet::new(),
             first_seen: HashMap::new(),
             is_serving: false,
+            request_rate: 0.0,
+            demand: HashMap::new(),
         }
     }
 
@@ -132,11 +151,15 @@
         is_connected: bool,
     ) {
         let has_served = is_serving;
-        let state = HeartbeatState { at: now, is_serving, has_served, is_connected };
+        let state =
+            HeartbeatState { at: now, is_serving, has_served, is_connected, request_rate: 0.0 };
         match self.heartbeats.get_mut(name) {
             Some(heartbeat) => {
-                *heartbeat =
-                    HeartbeatState { has_served: has_served || heartbeat.has_served, ..state };
+                *heartbeat = HeartbeatState {
+                    has_served: has_served || heartbeat.has_served,
+                    request_rate: heartbeat.request_rate,
+                    ..state
+                };
             }
             None => {
                 self.heartbeats.insert(name.to_owned(), state);
@@ -144,6 +167,43 @@
         }
     }
 
+    /// Records the requests per second that an instance, possibly this one, receives from callers.
+    pub fn record_request_rate(&mut self, name: &str, rate: f64) {
+        if name == self.own {
+            self.request_rate = rate;
+        } else if let Some(heartbeat) = self.heartbeats.get_mut(name) {
+            heartbeat.request_rate = rate;
+        }
+    }
+
+    /// Updates the highest recent demand of each region from the rates of the live instances.
+    pub fn update_demand(&mut self, now: PolicyTime) {
+        let mut current: HashMap<String, f64> = HashMap::new();
+        for view in self.live(now) {
+            let name = &view.record.name;
+            let heartbeat = self.heartbeats.get(name);
+            let rate = if *name == self.own {
+                self.request_rate
+            } else {
+                heartbeat.map_or(0.0, |heartbeat| heartbeat.request_rate)
+            };
+            *current.entry(view.region.to_owned()).or_default() += rate;
+        }
+        self.demand.retain(|region, _| current.contains_key(region));
+        for (region, rate) in current {
+            let peak = self.demand.entry(region).or_insert(DemandPeak { rate, at: now });
+            if rate >= peak.rate || now.since(peak.at) > DEMAND_HOLD {
+                *peak = DemandPeak { rate, at: now };
+            }
+        }
+    }
+
+    /// Returns the highest recent demand of a region, in requests per second.
+    #[must_use]
+    pub fn demand(&self, region: &str) -> f64 {
+        self.demand.get(region).map_or(0.0, |peak| peak.rate)
+    }
+
     /// Returns whether this instance itself is registered.
     #[must_use]
     pub fn is_registered(&self) -> bool {
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -97,6 +97,8 @@
     reachability: ReachabilityTracker,
     /// When the first endpoint was added in this process.
     first_endpoint_at: Option<PolicyTime>,
+    /// Whether an endpoint has stated how long work takes on its machine.
+    states_work: bool,
 }
 
 impl FleetSteering {
@@ -132,6 +134,7 @@
             crashes: CrashRecord::default(),
             reachability: ReachabilityTracker::default(),
             first_endpoint_at: None,
+            states_work: false,
         }
     }
 
@@ -184,6 +187,13 @@
         removed
     }
 
+    /// Returns whether requests are steered by the load that endpoints state: in deployments with load
+    /// pressure, and where an endpoint states how long work takes on its machine.
+    #[must_use]
+    pub const fn is_load_aware(&self) -> bool {
+        self.bounds.has_pressure || self.states_work
+    }
+
     /// Returns the number of endpoints of all services.
     #[must_use]
     pub fn endpoint_count(&self) -> usize {
@@ -266,6 +276,7 @@
         };
         state.in_flight = state.in_flight.saturating_sub(1);
         if let Some(report) = report {
+            self.states_work |= report.work_percent.is_some();
             let total = f64::from(report.running + report.waiting);
             state.other_requests = (total - f64::from(state.in_flight)).max(0.0);
             state.reported_at = now;
--- a/crates/jackdawmux_policy/tests/fleet_rules.rs
+++ b/crates/jackdawmux_policy/tests/fleet_rules.rs
@@ -16,7 +16,7 @@
 use jackdawmux_policy::fleet::directory::InstanceDirectory;
 use jackdawmux_policy::fleet::endpoint_state::EndpointChange;
 use jackdawmux_policy::fleet::outlier::AttemptOutcome;
-use jackdawmux_policy::fleet::placement::select_instances;
+use jackdawmux_policy::fleet::placement::{LookupSpread, select_instances};
 use jackdawmux_policy::fleet::record::{EndpointPhase, InstanceRecord, RouteRecord, RouteTarget};
 use jackdawmux_policy::fleet::region_share::region_shares;
 use jackdawmux_policy::fleet::routing::RouteTable;
@@ -450,7 +450,8 @@
     let live = directory.live(at(200));
     let (mut strong, mut weak) = (0.0, 0.0);
     for step in 0..1_000 {
-        let selected = select_instances(&live, "north", f64::from(step) / 1_000.0);
+        let selected =
+            select_instances(&live, "north", f64::from(step) / 1_000.0, LookupSpread::Whole);
         let share = 1.0 / f64::from(u32::try_from(selected.len()).expect("the count fits"));
         for view in &selected {
             assert_eq!(view.region, "north");
@@ -458,7 +459,7 @@
         }
     }
     assert!((strong / (strong + weak) - 0.75).abs() < 0.01, "{strong} {weak}");
-    let elsewhere = select_instances(&live, "lost", 0.99);
+    let elsewhere = select_instances(&live, "lost", 0.99, LookupSpread::Whole);
     assert_eq!(elsewhere.len(), 3, "all instances are selected if none is in the region");
 }
 
--- a/crates/jackdawmux_policy/tests/forwarding.rs
+++ b/crates/jackdawmux_policy/tests/forwarding.rs
@@ -4,7 +4,7 @@
 
 use jackdawmux_policy::fleet::directory::InstanceView;
 use jackdawmux_policy::fleet::forwarding::{PeerQuery, select_peer};
-use jackdawmux_policy::fleet::placement::{MAX_LOOKUP_INSTANCES, select_instances};
+use jackdawmux_policy::fleet::placement::{LookupSpread, MAX_LOOKUP_INSTANCES, select_instances};
 use jackdawmux_policy::fleet::record::InstanceRecord;
 use rstest::rstest;
 
@@ -47,7 +47,7 @@
 ) {
     let records: Vec<InstanceRecord> = (0..3).map(|index| record(index, 500)).collect();
     let live = views(&records, states);
-    let selected = select_instances(&live, "north", 0.5);
+    let selected = select_instances(&live, "north", 0.5, LookupSpread::Whole);
     let ports: Vec<u16> = selected.iter().map(|view| view.record.address.port()).collect();
     assert_eq!(ports, expected);
 }
@@ -58,7 +58,7 @@
     let records: Vec<InstanceRecord> = (0..118).map(|index| record(index, 500)).collect();
     let states: Vec<(&str, bool)> = (0..118).map(|index| ("north", index < 40)).collect();
     let live = views(&records, &states);
-    let selected = select_instances(&live, "north", 0.5);
+    let selected = select_instances(&live, "north", 0.5, LookupSpread::Whole);
     assert_eq!(selected.len(), MAX_LOOKUP_INSTANCES);
     assert!(selected.iter().all(|view| !view.is_isolated));
 }
--- a/crates/jackdawmux_policy/tests/heartbeat_fan_out.rs
+++ b/crates/jackdawmux_policy/tests/heartbeat_fan_out.rs
@@ -7,7 +7,7 @@
 
 use jackdawmux_policy::clock::PolicyTime;
 use jackdawmux_policy::fleet::directory::InstanceDirectory;
-use jackdawmux_policy::fleet::placement::{MAX_LOOKUP_INSTANCES, select_instances};
+use jackdawmux_policy::fleet::placement::{LookupSpread, MAX_LOOKUP_INSTANCES, select_instances};
 use jackdawmux_policy::fleet::record::InstanceRecord;
 use rstest::rstest;
 
@@ -76,6 +76,9 @@
         }
     }
     let live = directory.live(now);
-    assert_eq!(select_instances(&live, "north", 0.5).len(), MAX_LOOKUP_INSTANCES);
-    assert!(select_instances(&live, "south", 0.5).len() >= 4);
+    assert_eq!(
+        select_instances(&live, "north", 0.5, LookupSpread::Whole).len(),
+        MAX_LOOKUP_INSTANCES
+    );
+    assert!(select_instances(&live, "south", 0.5, LookupSpread::Whole).len() >= 4);
 }
