front, policy, platform: keys of teams are looked up, and their headers kept from endpoints

Cause: with `tenants` in the manifest a request needs a key, and the manifest only decoded them. The key was passed on to the endpoint, and nothing refused an unknown one.

A key is looked up in a hash map of the configuration in force, on arrival and before each attempt. The permission by age is read before the configuration, so that it never belongs to a later one than that in which the key was found.

The configuration is now indexed before the steering state is locked, because requests wait for that lock.

Ruled out: removing the key headers only when the request to the endpoint is built. `Debug` output of the plan would contain the key.

--- a/crates/jackdawmux_front/src/dialect.rs
+++ b/crates/jackdawmux_front/src/dialect.rs
@@ -7,6 +7,19 @@
 use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use jackdawmux_policy::fleet::choice::{LimitStatement, LoadReport};
 use jackdawmux_policy::fleet::endpoint_limit::LimitRate;
+use jackdawmux_policy::fleet::record::TeamKey;
+
+/// Key of a team in a caller's request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Credential {
+    /// The request carries none.
+    #[default]
+    Missing,
+    /// The request carries several, or one in another format.
+    Malformed,
+    /// The request carries this key.
+    Key(TeamKey),
+}
 
 /// Values read from the headers of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -17,6 +30,8 @@
     pub deadline: Option<Duration>,
     /// The object that the request is about.
     pub object: Option<HeaderValue>,
+    /// Key of the caller's team.
+    pub credential: Credential,
 }
 
 /// Values read from the status and headers of an endpoint's response.
@@ -121,6 +136,14 @@
     /// Sets the headers that carry the remaining time and the expected endpoint of an attempt.
     fn write_attempt_headers(&self, headers: &mut HeaderMap, time_left: Duration, endpoint: &str);
 
+    /// Prepares the headers that concern teams for an endpoint: removes the key and the name that the
+    /// caller stated, and sets the name of the team that holds the key. Formats without teams have no
+    /// such headers.
+    fn write_team(&self, _headers: &mut HeaderMap, _team: Option<&str>) {}
+
+    /// Sets the key again in a request that another instance is to look up.
+    fn write_key(&self, _headers: &mut HeaderMap, _key: &TeamKey) {}
+
     /// Reads the status and headers of an endpoint's response.
     fn read_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHeaders;
 
--- a/crates/jackdawmux_front/src/lib.rs
+++ b/crates/jackdawmux_front/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod source;
 pub mod upstream;
 
-pub use dialect::{LookupQuery, RequestHeaders, ResponseHeaders, WireDialect};
+pub use dialect::{Credential, LookupQuery, RequestHeaders, ResponseHeaders, WireDialect};
 pub use process::{FrontError, FrontProcess, FrontSettings};
 pub use source::{
     FleetSource, FleetUpdate, ListFreshness, SourceError, SourceErrorKind, SourcePosition,
--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -12,6 +12,7 @@
 use jackdawmux_policy::fleet::endpoint_state::EndpointChange;
 use jackdawmux_policy::fleet::record::{CallerLimits, ConfigRecord, FleetBounds, InstanceRecord};
 use jackdawmux_policy::fleet::relay::{ReadPath, RelayTimes};
+use jackdawmux_policy::fleet::routing::{KeyConflict, RouteTable};
 use jackdawmux_runtime::ListenerLimits;
 use kameo::Actor;
 use kameo::message::{Context, Message};
@@ -38,6 +39,9 @@
 /// change at slightly different times.
 const BEHIND_GRACE: Duration = Duration::from_millis(500);
 
+/// Keys stated by two teams that are logged for one version of the configuration.
+const MAX_LOGGED_CONFLICTS: usize = 8;
+
 /// The only task that applies updates to the fleet state.
 #[derive(Actor, Debug)]
 pub(crate) struct StateActor {
@@ -294,12 +298,22 @@
     pub(super) fn apply_config(&self, config: ConfigRecord, origin: &dyn Display) {
         let (version, limits) = (config.version, config.limits);
         let (routes, services) = (config.routes.len(), config.services.len());
-        if !self.state.steering().apply_config(config) {
+        if !self.state.steering().is_newer_config(version) {
             log::info!("event=config-ignored version={version} {origin} reason=not-newer");
             return;
         }
+        // Indexed before the steering state is locked, because requests wait for that lock.
+        let table = Arc::new(RouteTable::new(config));
+        self.state.steering().apply_table(Arc::clone(&table));
         self.state.metrics.set_config_version(version);
         self.apply_limits(&limits);
+        let conflicts = table.key_conflicts();
+        for KeyConflict { holder, other } in conflicts.iter().take(MAX_LOGGED_CONFLICTS) {
+            log::warn!(
+                "event=team-key-shared version={version} team={holder:?} refused={other:?} count={}",
+                conflicts.len()
+            );
+        }
         log::info!(
             "event=config-in-force version={version} routes={routes} services={services} \
              {origin}"
--- a/crates/jackdawmux_front/src/relay/wire.rs
+++ b/crates/jackdawmux_front/src/relay/wire.rs
@@ -81,5 +81,17 @@
 /// # Errors
 /// When the bytes are not an encoded object of this type.
 pub(super) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> io::Result<T> {
-    ciborium::from_reader(bytes).map_err(io::Error::other)
+    ciborium::from_reader(bytes).map_err(|error| io::Error::other(describe(&error)))
+}
+
+/// Describes an error without the value that caused it, which may be a team's key.
+fn describe(error: &ciborium::de::Error<io::Error>) -> String {
+    use ciborium::de::Error;
+    match error {
+        Error::Io(error) => format!("truncated: {}", error.kind()),
+        Error::Syntax(offset) => format!("invalid CBOR at byte {offset}"),
+        Error::Semantic(Some(offset), _text) => format!("unexpected data at byte {offset}"),
+        Error::Semantic(None, _text) => "unexpected data".to_owned(),
+        Error::RecursionLimitExceeded => "nested too deeply".to_owned(),
+    }
 }
--- a/crates/jackdawmux_front/src/request/access_log.rs
+++ b/crates/jackdawmux_front/src/request/access_log.rs
@@ -7,7 +7,9 @@
 use jackdawmux_policy::fleet::choice::EndpointChoice;
 use smallvec::SmallVec;
 
+use super::hop::HopRecord;
 use super::plan::RequestPlan;
+use super::team_access::AccessDenial;
 use crate::process::FrontState;
 
 /// One in this many routine requests is logged.
@@ -27,6 +29,20 @@
     outcome: &'static str,
 }
 
+/// Logs and counts a request that was refused before it had a plan.
+pub(crate) fn write_denial(state: &FrontState, denial: &AccessDenial, hop: Option<&HopRecord>) {
+    let AccessDenial { refusal, team } = denial;
+    let team = team.as_ref().map_or("-", |team| &team.name);
+    // A forwarded request is counted where it came from.
+    if refusal.concerns_key() && hop.is_none() {
+        state.metrics.count_team_request(team, refusal.status().as_str());
+    }
+    log::info!(
+        "event=request-refused outcome=not-run reason={refusal} team={team} origin={}",
+        hop.map_or("-", |hop| hop.origin.as_str())
+    );
+}
+
 impl AccessLogEntry {
     /// Records the endpoint of a new attempt.
     pub(crate) fn record_attempt(&mut self, choice: &EndpointChoice) {
@@ -66,6 +82,9 @@
             state.metrics.count_forwarded("received");
         } else {
             state.metrics.count_request(&plan.service, status.as_str(), elapsed);
+            if plan.access.replaces_headers() {
+                state.metrics.count_team_request(plan.team_text(), status.as_str());
+            }
         }
         let is_routine = status.is_success() && self.attempts.len() == 1;
         if is_routine && !rand::random_ratio(1, ROUTINE_SAMPLE_DENOMINATOR) {
@@ -77,10 +96,12 @@
             .map(|attempt| format!("{}/{}/{}", attempt.endpoint, attempt.rank, attempt.outcome))
             .collect();
         log::info!(
-            "event=request request={} route={} object={} service={} config={} status={} reason={reason} \
+            "event=request request={} route={} team={} priority={} object={} service={} config={} status={} reason={reason} \
              elapsed_ms={} allowed_ms={} sends={} origin={}",
             plan.attempt_text(),
             plan.route.name,
+            plan.team_text(),
+            plan.priority(),
             plan.object_text(),
             plan.service,
             plan.table.version(),
--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -28,6 +28,7 @@
 use super::plan::RequestPlan;
 use super::refusal::FrontRefusal;
 use super::streamed_response::{OpenResponse, stream_response};
+use super::team_access::{KeyPermission, RequestAccess};
 use crate::dialect::ResponseHeaders;
 use crate::process::FrontState;
 use crate::upstream::{Exchange, ExchangeOutcome, PooledConnection, exchange};
@@ -90,6 +91,8 @@
     pub(super) body: RequestBody,
     pub(super) log_entry: &'task mut AccessLogEntry,
     pub(super) sent: &'task SentFlag,
+    /// The decision about the key for the present attempt.
+    pub(super) access: RequestAccess,
     attempted: SmallVec<[EndpointKey; 4]>,
     /// Attempts of which bytes reached an endpoint.
     pub(super) delivered: u32,
@@ -108,7 +111,8 @@
         // Attempts of the instance that forwarded the request count as well.
         let delivered = plan.hop.as_ref().map_or(0, |hop| hop.delivered);
         let (attempted, peers) = (SmallVec::new(), SmallVec::new());
-        Self { state, plan, body, log_entry, sent, attempted, delivered, peers }
+        let access = plan.access.clone();
+        Self { state, plan, body, log_entry, sent, access, attempted, delivered, peers }
     }
 
     /// Makes attempts until a response is final or no further attempt is allowed.
@@ -121,11 +125,11 @@
         let mut unreachable = 0;
         let mut refusal = FrontRefusal::Shed(SHED_RETRY_AFTER);
         loop {
-            let target = match self.choose() {
+            let target = match self.check_access().and_then(|()| self.choose()) {
                 Ok(target) => target,
                 Err(chosen) if self.log_entry.attempt_count() == 0 => return Err(chosen),
                 Err(chosen) => {
-                    if chosen.is_held_off() {
+                    if chosen.is_held_off() || chosen.concerns_key() {
                         refusal = chosen;
                     }
                     break;
@@ -223,6 +227,21 @@
         MAX_CONNECT_FAILURES + if is_isolated { MAX_PEERS } else { 0 }
     }
 
+    /// Looks the key up in the configuration in force, which may have changed since the request
+    /// arrived or since its latest attempt.
+    fn check_access(&mut self) -> Result<(), FrontRefusal> {
+        let permission = KeyPermission::read(self.state);
+        let table = self.state.steering().table().cloned();
+        // Once teams are removed from the configuration, the key of a request that arrived before
+        // is still kept from endpoints.
+        if let Some(table) = table.filter(|table| table.has_teams()) {
+            let Self { plan, .. } = *self;
+            self.access = RequestAccess::decide(permission, &table, &plan.route, &plan.credential)
+                .map_err(|denial| denial.refusal)?;
+        }
+        Ok(())
+    }
+
     /// Chooses an endpoint, or a peer while this instance reaches no endpoint. A request takes one hop
     /// between instances at most.
     fn choose(&self) -> Result<AttemptTarget, FrontRefusal> {
@@ -252,7 +271,7 @@
         let query = EndpointQuery {
             service: &self.plan.service,
             route: &self.plan.route,
-            team: None,
+            team: self.access.team(),
             object: self.plan.object_hash,
             attempted: &self.attempted,
             is_retry: self.delivered > 0,
@@ -285,7 +304,11 @@
         let Some(body) = self.body.for_attempt() else {
             return AttemptResult::Unreachable;
         };
-        let request = self.build_request(&choice.id, body);
+        let mut request = self.build_request(&choice.id, body);
+        if self.access.replaces_headers() {
+            let team = self.access.team().map(|team| team.name.as_str());
+            self.state.dialect.write_team(request.headers_mut(), team);
+        }
         let target = Exchange {
             pool: &self.state.pool,
             endpoint: choice.key,
--- a/crates/jackdawmux_front/src/request/forwarded.rs
+++ b/crates/jackdawmux_front/src/request/forwarded.rs
@@ -8,6 +8,7 @@
 use axum::response::IntoResponse;
 use tokio::sync::OwnedSemaphorePermit;
 
+use super::access_log::write_denial;
 use super::hop::{FORWARD_PREFIX, HopRecord, mark_declined};
 use super::plan::RequestPlan;
 use super::refusal::FrontRefusal;
@@ -28,7 +29,14 @@
     let mut response = match accept(&state, &hop) {
         Ok(_permit) => match RequestPlan::resolve(&state, parts) {
             Ok(plan) => serve_plan(&state, &plan.forwarded(hop), body).await,
-            Err(refusal) => refusal.response(),
+            Err(denial) => {
+                write_denial(&state, &denial, Some(&hop));
+                let mut response = denial.refusal.response();
+                if denial.refusal.is_declinable() {
+                    mark_declined(response.headers_mut(), "permission-unknown");
+                }
+                response
+            }
         },
         Err(reason) => decline(reason),
     };
--- a/crates/jackdawmux_front/src/request/mod.rs
+++ b/crates/jackdawmux_front/src/request/mod.rs
@@ -11,6 +11,7 @@
 mod refusal;
 mod serve;
 mod streamed_response;
+mod team_access;
 
 pub(crate) use forwarded::serve_forwarded;
 pub(crate) use serve::{front_router, read_ahead_filter};
--- a/crates/jackdawmux_front/src/request/peer_attempt.rs
+++ b/crates/jackdawmux_front/src/request/peer_attempt.rs
@@ -10,6 +10,7 @@
 use super::guard::AttemptGuard;
 use super::hop::{FORWARD_PREFIX, HopRecord, take_declined, take_endpoint};
 use super::refusal::FrontRefusal;
+use crate::dialect::Credential;
 use crate::upstream::{Exchange, ExchangeOutcome, PooledConnection, exchange};
 
 /// Peers that one request may be offered to.
@@ -29,6 +30,7 @@
             own: &self.state.settings.instance,
             region: region.map_or("", String::as_str),
             homes: &self.plan.route.homes,
+            team_homes: self.access.team().map_or(&[], |team| &team.homes),
             excluded: &self.peers,
             draw: rand::random(),
         };
@@ -48,6 +50,11 @@
             return AttemptResult::Unreachable;
         };
         let mut request = self.build_request(&peer.name, body);
+        if let (true, Credential::Key(key)) =
+            (self.access.replaces_headers(), &self.plan.credential)
+        {
+            self.state.dialect.write_key(request.headers_mut(), key);
+        }
         let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
         let hop = HopRecord {
             config_version: self.plan.table.version(),
@@ -102,7 +109,11 @@
             return AttemptResult::NotRun(FrontRefusal::Isolated);
         }
         let endpoint = take_endpoint(response.headers_mut());
-        let is_refused = endpoint.is_none() && response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        let is_refused = endpoint.is_none()
+            && matches!(
+                response.status(),
+                StatusCode::SERVICE_UNAVAILABLE | StatusCode::UNAUTHORIZED
+            );
         if is_refused && self.delivered > 0 {
             // The peer does not know of the attempts that were made here.
             self.log_entry.record_outcome("refused");
--- a/crates/jackdawmux_front/src/request/plan.rs
+++ b/crates/jackdawmux_front/src/request/plan.rs
@@ -7,13 +7,15 @@
 use axum::http::request::Parts;
 use axum::http::{HeaderMap, HeaderValue, Method, Uri};
 use jackdawmux_policy::clock::PolicyTime;
-use jackdawmux_policy::fleet::record::{RepeatRule, RouteRecord};
+use jackdawmux_policy::fleet::record::{RepeatRule, RouteRecord, TeamRecord};
 use jackdawmux_policy::fleet::routing::RouteTable;
 use jackdawmux_policy::identity::stable_hash;
 use jackdawmux_runtime::strip_hop_by_hop_headers;
 
 use super::hop::HopRecord;
 use super::refusal::FrontRefusal;
+use super::team_access::{AccessDenial, KeyPermission, RequestAccess};
+use crate::dialect::Credential;
 use crate::process::FrontState;
 
 /// A request with its route, service, object and deadline.
@@ -24,7 +26,11 @@
     pub(crate) service: String,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
+    /// Headers for the endpoint, without those that concern teams if the configuration has teams.
     pub(crate) headers: HeaderMap,
+    pub(crate) credential: Credential,
+    /// The decision about the key on arrival.
+    pub(crate) access: RequestAccess,
     pub(crate) attempt: Option<HeaderValue>,
     pub(crate) object_hash: u64,
     object_name: Option<HeaderValue>,
@@ -38,15 +44,19 @@
     /// Finds the route of a request, and the service, object and deadline that follow from it.
     ///
     /// # Errors
-    /// When no configuration is known yet, or none of its routes matches the request.
-    pub(crate) fn resolve(state: &FrontState, parts: Parts) -> Result<Self, FrontRefusal> {
+    /// When no configuration is known yet, none of its routes matches the request, or the request must
+    /// not run with the key that it carries.
+    pub(crate) fn resolve(state: &FrontState, parts: Parts) -> Result<Self, AccessDenial> {
         let started = state.clock.now();
         let Parts { method, uri, mut headers, .. } = parts;
+        let permission = KeyPermission::read(state);
         let table = state.steering().table().cloned().ok_or(FrontRefusal::NoConfiguration)?;
         let host = uri.host().or_else(|| headers.get(HOST).and_then(|host| host.to_str().ok()));
         let host = host.unwrap_or_default();
         let route = table.find(host, uri.path()).cloned().ok_or(FrontRefusal::NoRoute)?;
         let request_headers = state.dialect.read_request(&headers);
+        let credential = request_headers.credential;
+        let access = RequestAccess::decide(permission, &table, &route, &credential)?;
         let allowed = request_headers.deadline.unwrap_or(Duration::MAX).min(route.timeout);
         let target = state.steering().split(table.version(), &route);
         let service = route.targets.get(target).map(|target| target.service.clone());
@@ -57,6 +67,9 @@
         strip_hop_by_hop_headers(&mut headers);
         // Set again from the body that is sent to the endpoint.
         headers.remove(CONTENT_LENGTH);
+        if access.replaces_headers() {
+            state.dialect.write_team(&mut headers, None);
+        }
         let path = uri.path_and_query().map_or("/", |path| path.as_str());
         let uri = path.parse().unwrap_or_default();
         Ok(Self {
@@ -66,6 +79,8 @@
             method,
             uri,
             headers,
+            credential,
+            access,
             attempt: request_headers.attempt,
             object_hash,
             object_name: request_headers.object,
@@ -85,6 +100,21 @@
         self.route.repeat == RepeatRule::Once
     }
 
+    /// The team of the request on arrival; none if it carries no key.
+    pub(crate) fn team(&self) -> Option<&TeamRecord> {
+        self.access.team()
+    }
+
+    /// Name of the team, for logs and metrics.
+    pub(crate) fn team_text(&self) -> &str {
+        self.team().map_or("-", |team| &team.name)
+    }
+
+    /// Priority of the request; 0 is the highest. That of the team replaces that of the route.
+    pub(crate) fn priority(&self) -> u32 {
+        self.team().and_then(|team| team.priority).unwrap_or(self.route.priority)
+    }
+
     /// Object identifier as the caller sent it, for logs and the request's digest.
     pub(crate) fn object_text(&self) -> &str {
         self.object_name.as_ref().and_then(|value| value.to_str().ok()).unwrap_or("-")
--- a/crates/jackdawmux_front/src/request/refusal.rs
+++ b/crates/jackdawmux_front/src/request/refusal.rs
@@ -19,6 +19,9 @@
 const ISOLATED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry-after delay while this process stops. Another instance can serve the request at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(5);
+/// Retry-after delay while this instance cannot show that a key is valid. The configuration is read
+/// again within this time if the source answers.
+const PERMISSION_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Random extension of retry-after delays, as a share, so that callers do not retry all at once.
 const RETRY_AFTER_SPREAD: f64 = 0.5;
 
@@ -30,6 +33,15 @@
     NoConfiguration,
     /// No route matches the request.
     NoRoute,
+    /// The key belongs to no team; the request was not run.
+    UnknownKey,
+    /// The route needs a key and the request carries none; it was not run.
+    MissingKey,
+    /// The key is repeated or has another format; the request was not run.
+    MalformedKey,
+    /// The configuration in force here may be too old to say whether the key is valid; the request
+    /// was not run.
+    PermissionUnknown,
     /// The body is larger than allowed.
     BodyTooLarge,
     /// The body could not be read to its end.
@@ -76,7 +88,9 @@
             | Self::Unreachable
             | Self::Isolated
             | Self::Stopping
+            | Self::PermissionUnknown
             | Self::DeadlineUnsent => StatusCode::SERVICE_UNAVAILABLE,
+            Self::UnknownKey | Self::MissingKey | Self::MalformedKey => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken => StatusCode::BAD_REQUEST,
@@ -93,8 +107,12 @@
             Self::Shed(retry_after) => Some(retry_after),
             Self::Isolated => Some(ISOLATED_RETRY_AFTER),
             Self::Stopping => Some(STOPPING_RETRY_AFTER),
+            Self::PermissionUnknown => Some(PERMISSION_RETRY_AFTER),
             Self::Unreachable | Self::DeadlineUnsent => Some(UNREACHABLE_RETRY_AFTER),
             Self::NoRoute
+            | Self::UnknownKey
+            | Self::MissingKey
+            | Self::MalformedKey
             | Self::BodyTooLarge
             | Self::BodyBroken
             | Self::DeadlinePassed
@@ -114,6 +132,19 @@
         matches!(reason, ChoiceRefusalReason::Paused | ChoiceRefusalReason::Limited)
     }
 
+    /// Whether the request must not run with its key, or cannot be shown to be allowed.
+    pub(crate) const fn concerns_key(self) -> bool {
+        matches!(
+            self,
+            Self::UnknownKey | Self::MissingKey | Self::MalformedKey | Self::PermissionUnknown
+        )
+    }
+
+    /// Whether another instance may still serve the request.
+    pub(crate) const fn is_declinable(self) -> bool {
+        matches!(self, Self::Isolated | Self::Stopping | Self::PermissionUnknown)
+    }
+
     /// Kind of the refusal, without the details of the decision.
     fn kind(self) -> String {
         let text = self.to_string();
@@ -122,7 +153,8 @@
 
     /// Response to the caller, as problem details in JSON.
     pub(crate) fn response(self) -> Response<Body> {
-        let outcome = if self.status() == StatusCode::SERVICE_UNAVAILABLE { "not-run" } else { "" };
+        let is_not_run = self.concerns_key() || self.status() == StatusCode::SERVICE_UNAVAILABLE;
+        let outcome = if is_not_run { "not-run" } else { "" };
         let problem = json!({
             "type": format!("urn:jackdawmux:{}", self.kind()),
             "status": self.status().as_u16(),
--- a/crates/jackdawmux_front/src/request/serve.rs
+++ b/crates/jackdawmux_front/src/request/serve.rs
@@ -12,7 +12,7 @@
 use jackdawmux_runtime::ReadAheadFilter;
 use tokio::time::timeout_at;
 
-use super::access_log::AccessLogEntry;
+use super::access_log::{AccessLogEntry, write_denial};
 use super::body::RequestBody;
 use super::forward::{ForwardTask, SentFlag};
 use super::hop::mark_declined;
@@ -56,9 +56,9 @@
     let (parts, body) = request.into_parts();
     let mut response = match RequestPlan::resolve(&state, parts) {
         Ok(plan) => serve_plan(&state, &plan, body).await,
-        Err(refusal) => {
-            log::info!("event=request-refused outcome=not-run reason={refusal}");
-            refusal.response()
+        Err(denial) => {
+            write_denial(&state, &denial, None);
+            denial.refusal.response()
         }
     };
     finish_response(&state, &mut response);
@@ -96,8 +96,7 @@
         Err(refusal) => {
             log_entry.write(state, plan, refusal.status(), &refusal.to_string());
             let mut response = refusal.response();
-            let is_declined = matches!(refusal, FrontRefusal::Isolated | FrontRefusal::Stopping);
-            if plan.hop.is_some() && is_declined {
+            if plan.hop.is_some() && refusal.is_declinable() {
                 mark_declined(response.headers_mut(), "no-longer-able");
             }
             response
--- a/crates/jackdawmux_native/src/dialect.rs
+++ b/crates/jackdawmux_native/src/dialect.rs
@@ -8,7 +8,7 @@
 use jackdawmux_front::dialect::{
     insert_attempt_headers, query_value, read_limit, read_retry_after,
 };
-use jackdawmux_front::{LookupQuery, RequestHeaders, ResponseHeaders, WireDialect};
+use jackdawmux_front::{Credential, LookupQuery, RequestHeaders, ResponseHeaders, WireDialect};
 use serde::Serialize;
 
 /// Identity of one attempt; upstreams echo it, so that a response to another request is detected.
@@ -51,6 +51,7 @@
             attempt: headers.get(REQUEST_ID).cloned(),
             deadline: deadline.map(Duration::from_millis),
             object: headers.get(OBJECT).cloned(),
+            credential: Credential::Missing,
         }
     }
 
--- a/crates/jackdawmux_policy/src/fleet/forwarding.rs
+++ b/crates/jackdawmux_policy/src/fleet/forwarding.rs
@@ -10,8 +10,10 @@
     pub own: &'query str,
     /// Region of this instance.
     pub region: &'query str,
-    /// Regions in which the request may be handled; empty for all.
+    /// Regions in which requests of the route may be handled; empty for all.
     pub homes: &'query [String],
+    /// Regions in which requests of the team may be handled; empty for all.
+    pub team_homes: &'query [String],
     /// Peers that are not to be asked.
     pub excluded: &'query [String],
     /// Random number, uniform in `0..1`.
@@ -26,8 +28,9 @@
     query: &PeerQuery<'_>,
 ) -> Option<&'view InstanceRecord> {
     let is_allowed = |instance: &&InstanceView<'_>| {
-        let is_home = query.homes.is_empty()
-            || query.homes.iter().any(|home| home.as_str() == instance.region);
+        let is_home = [query.homes, query.team_homes]
+            .iter()
+            .all(|homes| homes.is_empty() || homes.iter().any(|home| home == instance.region));
         let name = &instance.record.name;
         !instance.is_isolated && is_home && name != query.own && !query.excluded.contains(name)
     };
--- a/crates/jackdawmux_policy/src/fleet/record.rs
+++ b/crates/jackdawmux_policy/src/fleet/record.rs
@@ -1,6 +1,7 @@
 //! Records of the deployment's configuration and registrations, as the operator, the endpoints and
 //! the instances publish them.
 
+use std::borrow::Borrow;
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -126,6 +127,13 @@
     }
 }
 
+/// Looks up keys in maps by their text, which hashes and compares as the key does.
+impl Borrow<str> for TeamKey {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
 impl fmt::Debug for TeamKey {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str("TeamKey(hidden)")
--- a/crates/jackdawmux_policy/src/fleet/routing.rs
+++ b/crates/jackdawmux_policy/src/fleet/routing.rs
@@ -1,9 +1,19 @@
-//! Route lookup by host and path prefix.
+//! Lookup of routes by host and path prefix, and of teams by key.
 
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::sync::Arc;
 
-use super::record::{CallerLimits, ConfigRecord, RouteRecord, ServiceRecord};
+use super::record::{CallerLimits, ConfigRecord, RouteRecord, ServiceRecord, TeamKey, TeamRecord};
+
+/// Two teams that state the same key. Holds names only, so that it can be logged.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyConflict {
+    /// The first team that states the key, which holds it.
+    pub holder: String,
+    /// The team that does not get the key.
+    pub other: String,
+}
 
 /// One version of the configuration, indexed for lookup.
 #[derive(Clone, Debug)]
@@ -11,6 +21,8 @@
     config: ConfigRecord,
     hosts: HashMap<String, Vec<Arc<RouteRecord>>>,
     services: HashMap<String, ServiceRecord>,
+    teams: HashMap<TeamKey, Arc<TeamRecord>>,
+    key_conflicts: Vec<KeyConflict>,
 }
 
 impl RouteTable {
@@ -27,7 +39,8 @@
         }
         let services = config.services.iter();
         let services = services.map(|service| (service.name.clone(), service.clone())).collect();
-        Self { config, hosts, services }
+        let (teams, key_conflicts) = index_keys(config.teams.as_deref().unwrap_or_default());
+        Self { config, hosts, services, teams, key_conflicts }
     }
 
     /// Returns the version of the configuration.
@@ -54,6 +67,24 @@
         self.services.get(name)
     }
 
+    /// Returns whether requests carry keys of teams.
+    #[must_use]
+    pub const fn has_teams(&self) -> bool {
+        self.config.teams.is_some()
+    }
+
+    /// Returns the team that holds a key.
+    #[must_use]
+    pub fn find_team(&self, key: &str) -> Option<&Arc<TeamRecord>> {
+        self.teams.get(key)
+    }
+
+    /// Returns the pairs of teams that state the same key.
+    #[must_use]
+    pub fn key_conflicts(&self) -> &[KeyConflict] {
+        &self.key_conflicts
+    }
+
     /// Returns the number of routes over all hosts.
     #[must_use]
     pub fn route_count(&self) -> usize {
@@ -72,3 +103,26 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 }
+
+/// Indexes teams by their keys. The first team that states a key holds it.
+fn index_keys(teams: &[TeamRecord]) -> (HashMap<TeamKey, Arc<TeamRecord>>, Vec<KeyConflict>) {
+    let mut index: HashMap<TeamKey, Arc<TeamRecord>> = HashMap::new();
+    let mut conflicts = Vec::new();
+    for team in teams {
+        let shared = Arc::new(team.clone());
+        for key in &team.keys {
+            match index.entry(key.clone()) {
+                Entry::Vacant(entry) => {
+                    entry.insert(Arc::clone(&shared));
+                }
+                // The same team may state a key twice.
+                Entry::Occupied(entry) if Arc::ptr_eq(entry.get(), &shared) => {}
+                Entry::Occupied(entry) => {
+                    let holder = entry.get().name.clone();
+                    conflicts.push(KeyConflict { holder, other: team.name.clone() });
+                }
+            }
+        }
+    }
+    (index, conflicts)
+}
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -143,12 +143,24 @@
 
     /// Applies a configuration if it is newer than the active one. Returns whether it was applied.
     pub fn apply_config(&mut self, config: ConfigRecord) -> bool {
-        let current = self.table.as_ref().map_or(0, |table| table.version());
-        if self.table.is_some() && config.version <= current {
-            return false;
+        self.is_newer_config(config.version) && self.apply_table(Arc::new(RouteTable::new(config)))
+    }
+
+    /// Returns whether a version of the configuration is newer than the active one.
+    #[must_use]
+    pub fn is_newer_config(&self, version: u64) -> bool {
+        self.table.as_ref().is_none_or(|table| version > table.version())
+    }
+
+    /// Applies an indexed configuration if it is newer than the active one. Returns whether it was
+    /// applied. Indexing many keys takes long, so that callers do it before they lock the steering
+    /// state.
+    pub fn apply_table(&mut self, table: Arc<RouteTable>) -> bool {
+        let is_newer = self.is_newer_config(table.version());
+        if is_newer {
+            self.table = Some(table);
         }
-        self.table = Some(Arc::new(RouteTable::new(config)));
-        true
+        is_newer
     }
 
     /// Sets the names of the registered instances, among which limits are divided.
--- a/crates/jackdawmux_policy/tests/forwarding.rs
+++ b/crates/jackdawmux_policy/tests/forwarding.rs
@@ -68,7 +68,7 @@
     excluded: &'query [String],
     draw: f64,
 ) -> PeerQuery<'query> {
-    PeerQuery { own: "front-0", region: "north", homes, excluded, draw }
+    PeerQuery { own: "front-0", region: "north", homes, team_homes: &[], excluded, draw }
 }
 
 /// Guards against a request that is sent to a region which is none of its homes, to an instance that
--- a/crates/jackdawmux_runtime/src/metrics.rs
+++ b/crates/jackdawmux_runtime/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Prometheus metrics, served at `/metrics`.
 
+use std::collections::HashSet;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
@@ -12,6 +14,10 @@
 const LATENCY_BUCKETS_S: [f64; 14] =
     [0.000_2, 0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
 
+/// Teams that are counted by name; further ones are counted together, so that the number of series
+/// is bounded.
+const MAX_COUNTED_TEAMS: usize = 64;
+
 /// The metrics exporter could not be set up.
 #[derive(Debug, Snafu)]
 #[snafu(display("step=metrics error={reason}"))]
@@ -26,6 +32,8 @@
     // Kept because dropping the provider stops collection.
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
+    team_requests: Counter<u64>,
+    counted_teams: Mutex<HashSet<String>>,
     latency: Histogram<f64>,
     retries: Counter<u64>,
     forwarded: Counter<u64>,
@@ -50,6 +58,8 @@
         let meter = provider.meter("jackdawmux");
         Ok(Self {
             requests: meter.u64_counter("jackdawmux_requests").build(),
+            team_requests: meter.u64_counter("jackdawmux_team_requests").build(),
+            counted_teams: Mutex::default(),
             latency: meter
                 .f64_histogram("jackdawmux_request_seconds")
                 .with_boundaries(LATENCY_BUCKETS_S.to_vec())
@@ -74,6 +84,22 @@
         self.latency.record(latency.as_secs_f64(), &labels);
     }
 
+    /// Counts a request of a team. Only the teams that are counted first have a series of their own.
+    pub fn count_team_request(&self, team: &str, outcome: &str) {
+        let team = if self.is_counted_by_name(team) { team } else { "other" };
+        let labels =
+            [KeyValue::new("team", team.to_owned()), KeyValue::new("outcome", outcome.to_owned())];
+        self.team_requests.add(1, &labels);
+    }
+
+    fn is_counted_by_name(&self, team: &str) -> bool {
+        let mut teams = self.counted_teams.lock().unwrap_or_else(PoisonError::into_inner);
+        if teams.contains(team) {
+            return true;
+        }
+        teams.len() < MAX_COUNTED_TEAMS && teams.insert(team.to_owned())
+    }
+
     /// Counts a retry of a request to `service`.
     pub fn count_retry(&self, service: &str) {
         self.retries.add(1, &[KeyValue::new("service", service.to_owned())]);
