--- a/crates/jackdawmux_front/src/process/mod.rs
+++ b/crates/jackdawmux_front/src/process/mod.rs
@@ -11,6 +11,7 @@
 mod settings;
 mod state;
 mod state_actor;
+mod team_permission;
 mod watcher;
 
 pub use error::FrontError;
