front, policy: age of the permission to use keys

Nothing recorded when a read began. Each read of the configuration that shows the version in force to be the newest renews the permission; its age counts from the start of the read on CLOCK_BOOTTIME. Relays state when their own read began and the version that it showed. Builds that do not state this are not used for the configuration while the deployment has teams. A first list is read as of the call while the deployment has teams. An undecodable manifest no longer makes the watch return at once for ever. Ruled out: a relay's proof without a version, because a reader of a later era could take the proof of an earlier one for an older manifest.

--- a/crates/jackdawmux_front/src/lib.rs
+++ b/crates/jackdawmux_front/src/lib.rs
@@ -14,6 +14,6 @@
 pub use dialect::{LookupQuery, RequestHeaders, ResponseHeaders, WireDialect};
 pub use process::{FrontError, FrontProcess, FrontSettings};
 pub use source::{
-    FleetSource, FleetUpdate, ListFreshness, SourceError, SourceErrorKind, SourcePosition,
-    UpdateBatch, WatchTopic,
+    FleetSource, FleetUpdate, ListFreshness, ReadEvidence, SourceError, SourceErrorKind,
+    SourcePosition, UpdateBatch, WatchTopic,
 };
--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -201,6 +201,12 @@
         })
     }
 
+    /// State that exists for the lifetime of the process.
+    #[must_use]
+    pub fn state(&self) -> &FrontState {
+        &self.state
+    }
+
     /// Address for callers.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
--- a/crates/jackdawmux_front/src/process/mod.rs
+++ b/crates/jackdawmux_front/src/process/mod.rs
@@ -10,6 +10,7 @@
 mod settings;
 mod state;
 mod state_actor;
+mod team_permission;
 mod watcher;
 
 pub use error::FrontError;
--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -16,6 +16,7 @@
 
 use super::connectivity::SourceConnectivity;
 use super::settings::FrontSettings;
+use super::team_permission::TeamPermission;
 use crate::dialect::WireDialect;
 use crate::relay::RelayHub;
 use crate::source::{SourcePosition, WatchTopic};
@@ -88,6 +89,8 @@
     pub(crate) later_config_at: watch::Sender<String>,
     /// Name of the peer that is asked what it knows from before a restore of the source.
     pub(crate) restore_facts_at: watch::Sender<String>,
+    /// Age of the configuration in force and of the list of instances.
+    pub(crate) permission: TeamPermission,
     steering: Mutex<FleetSteering>,
     config_freshness: Mutex<ConfigFreshness>,
     freshness: Mutex<FreshnessTracker>,
@@ -108,6 +111,7 @@
         let regions = Arc::new(settings.regions.clone());
         let bounds = settings.bounds.clone();
         let (own, domain) = (&settings.instance, &settings.domain);
+        let permission = TeamPermission::new(&bounds);
         let steering = FleetSteering::new(own, domain, Arc::clone(&regions), bounds);
         let peer_limits = watch::Sender::new(*limits.borrow());
         let capacity = usize::try_from(settings.capacity_permille).unwrap_or(usize::MAX);
@@ -135,6 +139,7 @@
             heartbeat_due: Notify::new(),
             later_config_at: watch::Sender::default(),
             restore_facts_at: watch::Sender::default(),
+            permission,
             steering: Mutex::new(steering),
             config_freshness: Mutex::default(),
             freshness: Mutex::default(),
@@ -166,6 +171,11 @@
         self.steering().table().map_or(0, |table| table.version())
     }
 
+    /// Whether the configuration in force has teams.
+    pub(crate) fn has_teams(&self) -> bool {
+        self.steering().table().is_some_and(|table| table.config().teams.is_some())
+    }
+
     /// Locks the directory of instances.
     pub(crate) fn directory(&self) -> MutexGuard<'_, InstanceDirectory> {
         self.directory.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -20,6 +20,7 @@
 
 use super::heartbeat::Heartbeat;
 use super::state::{FrontPhase, FrontState};
+use super::team_permission::{AppliedReply, ReadFacts};
 use crate::source::{FleetUpdate, SourcePosition, UpdateBatch, WatchTopic};
 
 /// File descriptors reserved for files, listeners, the store and upstreams; callers' connections
@@ -57,8 +58,8 @@
 pub(crate) struct ApplyUpdates {
     pub(crate) topic: WatchTopic,
     pub(crate) batch: UpdateBatch,
-    /// Whether the batch is the full list, so that entries missing from it are removed.
-    pub(crate) is_full_list: bool,
+    /// How the batch was read. Entries missing from a full list are removed.
+    pub(crate) read: ReadFacts,
 }
 
 /// The source answers calls again after an outage.
@@ -84,7 +85,7 @@
     type Reply = ();
 
     async fn handle(&mut self, message: ApplyUpdates, _context: &mut Context<Self, ()>) {
-        let ApplyUpdates { topic, batch, is_full_list } = message;
+        let ApplyUpdates { topic, batch, read } = message;
         let now = self.state.clock.now();
         let position = batch.position;
         let newest = SourcePosition { era: position.era, revision: batch.newest_revision };
@@ -92,7 +93,8 @@
             log::info!("event=reply-discarded topic={topic} at={position} reason=past-era");
             return;
         }
-        if is_full_list {
+        let reply = AppliedReply::new(topic, &batch, read);
+        if read.is_full_list {
             log::info!(
                 "event=list-read topic={topic} at={position} count={} is_relayed={}",
                 batch.updates.len(),
@@ -105,6 +107,9 @@
             }
         }
         self.state.freshness().record_applied(topic, newest);
+        if self.state.permission.record_reply(reply, self.state.config_version()) {
+            self.state.relay.wake_readers();
+        }
         self.refresh_phase();
     }
 }
@@ -138,6 +143,7 @@
         steering.crashes_mut().apply_peer_crashes(now, &heartbeat.instance, &heartbeat.crashes);
         let own = steering.table().map_or(0, |table| table.version());
         drop(steering);
+        self.state.permission.record_peer(heartbeat.config_version);
         self.request_restore_facts(now, &heartbeat.instance);
         let mut config_freshness = self.state.config_freshness();
         config_freshness.record_peer(now, own, &heartbeat.instance, heartbeat.config_version);
@@ -167,6 +173,7 @@
             self.state.is_behind.iter().for_each(Notify::notify_one);
         }
         self.check_config(now);
+        self.state.check_permission();
         let is_direct = self.state.read_path() == ReadPath::Direct;
         let times = RelayTimes::new(self.state.settings.bounds.update_deadline);
         let relay_delay = if is_direct { Duration::ZERO } else { times.batch_delay };
@@ -183,6 +190,7 @@
     type Reply = ();
 
     async fn handle(&mut self, message: SetBounds, _context: &mut Context<Self, ()>) {
+        self.state.permission.set_bounds(&message.0);
         self.state.steering().set_bounds(message.0);
     }
 }
@@ -294,7 +302,13 @@
     pub(super) fn apply_config(&self, config: ConfigRecord, origin: &dyn Display) {
         let (version, limits) = (config.version, config.limits);
         let (routes, services) = (config.routes.len(), config.services.len());
-        if !self.state.steering().apply_config(config) {
+        let has_teams = config.teams.is_some();
+        let had_teams = self.state.has_teams();
+        // Set before the configuration is in force: no request may use its keys without permission.
+        self.state.permission.set_has_teams(has_teams || had_teams);
+        let is_applied = self.state.steering().apply_config(config);
+        self.state.permission.set_has_teams(if is_applied { has_teams } else { had_teams });
+        if !is_applied {
             log::info!("event=config-ignored version={version} {origin} reason=not-newer");
             return;
         }
--- a/crates/jackdawmux_front/src/process/watcher.rs
+++ b/crates/jackdawmux_front/src/process/watcher.rs
@@ -12,10 +12,16 @@
 use super::connectivity::check;
 use super::state::FrontState;
 use super::state_actor::{ApplyUpdates, SourceRecovered, StateActor};
+use super::team_permission::ReadFacts;
 use crate::source::{
-    FleetSource, ListFreshness, SourceError, SourceErrorKind, UpdateBatch, WatchTopic,
+    FleetSource, ListFreshness, ReadEvidence, SourceError, SourceErrorKind, UpdateBatch, WatchTopic,
 };
 
+/// Time for the reply to a watch in addition to its wait, for topics that must count as current. Even
+/// a slow source replies within fractions of a second.
+const REPLY_MARGIN: Duration = Duration::from_secs(1);
+/// Limit that no reply exceeds.
+const UNLIMITED: Duration = Duration::from_secs(3_600);
 /// How long one watch waits for updates.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(12);
 /// Delay after a non-empty batch, in which further updates accumulate, as a share of the time
@@ -79,16 +85,20 @@
                 sleep(RESTORE_LIST_SPREAD.mul_f64(rand::random())).await;
             }
             let call = cursor.next();
-            match self.execute(call).await {
+            let read = self.start_read(call);
+            match self.execute(call, read).await {
                 CallEnd::Returned(Ok(batch)) => {
                     backoff = INITIAL_BACKOFF;
                     self.record_success().await;
                     drop(probe);
                     self.state.connectivity.observe_era(batch.position.era);
-                    let (position, is_empty) = (batch.position, batch.updates.is_empty());
+                    // An update that cannot be decoded has been read nevertheless.
+                    let is_empty =
+                        batch.updates.is_empty() && batch.evidence != ReadEvidence::Undecoded;
+                    let position = batch.position;
                     let outcome = CallOutcome::Answered { position, is_empty };
                     match cursor.record(call, outcome) {
-                        ReplyUse::Apply if !self.deliver(call, batch).await => return,
+                        ReplyUse::Apply if !self.deliver(call, read, batch).await => return,
                         ReplyUse::Apply => {}
                         ReplyUse::Discard => {
                             log::info!("event=reply-discarded topic={} at={position}", self.topic);
@@ -118,20 +128,33 @@
         }
     }
 
-    async fn execute(&self, call: SourceCall) -> CallEnd {
+    /// Determines how a call is made. The first list may be old unless it must prove that it is the
+    /// newest.
+    fn start_read(&self, call: SourceCall) -> ReadFacts {
+        let needs_proof = self.state.permission.max_wait(self.topic).is_some();
+        ReadFacts {
+            started: self.state.permission.now(),
+            is_full_list: matches!(call, SourceCall::List { .. }),
+            may_be_old: !needs_proof && matches!(call, SourceCall::List { is_first: true }),
+        }
+    }
+
+    async fn execute(&self, call: SourceCall, read: ReadFacts) -> CallEnd {
         let mut interruptions = self.state.connectivity.interruptions();
+        let max_wait = self.state.permission.max_wait(self.topic);
+        let freshness =
+            if read.may_be_old { ListFreshness::MayBeOld } else { ListFreshness::Current };
         let returned = async {
             match call {
-                SourceCall::List { is_first } => {
-                    let freshness =
-                        if is_first { ListFreshness::MayBeOld } else { ListFreshness::Current };
-                    self.source.list(self.topic, freshness).await
-                }
+                SourceCall::List { .. } => self.source.list(self.topic, freshness).await,
                 SourceCall::Watch { position } => {
-                    self.source.watch(self.topic, position, WATCH_TIMEOUT).await
+                    let wait = max_wait.map_or(WATCH_TIMEOUT, |wait| wait.min(WATCH_TIMEOUT));
+                    self.source.watch(self.topic, position, wait).await
                 }
             }
         };
+        // A watch whose reply is lost must not use up the time for which its topic counts as current.
+        let reply_limit = max_wait.map_or(UNLIMITED, |wait| wait + REPLY_MARGIN);
         // A list returns all changes; only a watch can miss one without failing.
         let is_waiting = matches!(call, SourceCall::Watch { .. });
         if is_waiting {
@@ -142,21 +165,24 @@
             result = returned => CallEnd::Returned(result),
             _ = interruptions.changed() => CallEnd::Interrupted,
             () = self.state.is_behind[self.topic as usize].notified(), if is_waiting => CallEnd::Behind,
+            () = sleep(reply_limit), if is_waiting => {
+                log::info!("event=watch-abandoned topic={} reason=no-reply-in-time", self.topic);
+                CallEnd::Interrupted
+            }
         };
         self.state.freshness().end_call(self.topic);
         end
     }
 
-    async fn deliver(&self, call: SourceCall, batch: UpdateBatch) -> bool {
+    async fn deliver(&self, call: SourceCall, read: ReadFacts, batch: UpdateBatch) -> bool {
         let from = match call {
             SourceCall::List { .. } => None,
             SourceCall::Watch { position } => Some(position),
         };
         self.state.relay.record(self.topic, from, &batch);
-        let is_full_list = from.is_none();
         // A relay has already waited for further updates.
         let is_delayed = !batch.updates.is_empty() && !batch.is_relayed;
-        let message = ApplyUpdates { topic: self.topic, batch, is_full_list };
+        let message = ApplyUpdates { topic: self.topic, batch, read };
         let is_delivered = self.state_actor.tell(message).await.is_ok();
         if is_delayed {
             sleep(self.batch_delay()).await;
@@ -171,7 +197,10 @@
             return RelayTimes::new(self.update_deadline).batch_delay;
         }
         match self.topic {
-            WatchTopic::Instances => INSTANCES_BATCH_DELAY,
+            WatchTopic::Instances => {
+                let max_wait = self.state.permission.max_wait(self.topic);
+                max_wait.map_or(INSTANCES_BATCH_DELAY, |wait| INSTANCES_BATCH_DELAY.min(wait / 2))
+            }
             _ => self.update_deadline.mul_f64(BATCH_DELAY_SHARE),
         }
     }
--- a/crates/jackdawmux_front/src/relay/mod.rs
+++ b/crates/jackdawmux_front/src/relay/mod.rs
@@ -12,4 +12,4 @@
 pub(crate) use peer_reader::PeerReader;
 pub(crate) use server::relay_router;
 pub use source::RelayedSource;
-pub use wire::{RelayedBatch, decode_batch, encode_batch};
+pub use wire::{RelayedBatch, decode_batch, encode_batch, format_proof, parse_proof};
--- a/crates/jackdawmux_front/src/relay/peer_reader.rs
+++ b/crates/jackdawmux_front/src/relay/peer_reader.rs
@@ -12,9 +12,9 @@
 use tokio::time::timeout;
 
 use super::source::relay_error;
-use super::wire::{CONFIG_PATH, RESTORE_PATH, decode};
+use super::wire::{CONFIG_PATH, PROOF_HEADER, RESTORE_PATH, decode};
 use crate::process::{AdoptRestoreFacts, ApplyPeerConfig, FrontState, StateActor};
-use crate::source::{SourceError, SourceErrorKind};
+use crate::source::{SourceError, SourceErrorKind, WatchTopic};
 
 /// Time limit of a read.
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
@@ -111,15 +111,21 @@
             let response = self.client.get(format!("http://{address}{path}")).send().await?;
             let response = response.error_for_status()?;
             let is_empty = response.status() == StatusCode::NO_CONTENT;
-            Ok::<_, reqwest::Error>((is_empty, response.bytes().await?))
+            let has_proof = response.headers().contains_key(PROOF_HEADER);
+            Ok::<_, reqwest::Error>((is_empty, has_proof, response.bytes().await?))
         };
-        let (is_empty, bytes) = timeout(READ_TIMEOUT, reading)
+        let (is_empty, has_proof, bytes) = timeout(READ_TIMEOUT, reading)
             .await
             .map_err(|_elapsed| failed(&"no reply in time"))?
             .map_err(|error| failed(&error))?;
         if is_empty {
             return Ok(None);
         }
+        // An older build drops the teams from the configuration that it has read.
+        let needs_teams = self.state.permission.max_wait(WatchTopic::Config).is_some();
+        if path == CONFIG_PATH && needs_teams && !has_proof {
+            return Err(failed(&"a build that does not know teams"));
+        }
         decode(&bytes).map(Some).map_err(|error| SourceError {
             step,
             peer: peer.to_owned(),
--- a/crates/jackdawmux_front/src/relay/server.rs
+++ b/crates/jackdawmux_front/src/relay/server.rs
@@ -7,16 +7,19 @@
 use axum::Router;
 use axum::body::Bytes;
 use axum::extract::{Query, State};
-use axum::http::StatusCode;
+use axum::http::{HeaderValue, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
+use jackdawmux_policy::clock::PolicyTime;
+use jackdawmux_policy::fleet::permission::ConfigProof;
 use jackdawmux_policy::fleet::position::WatchTopic;
 use jackdawmux_policy::fleet::relay::{KeptUpdates, ReadPath, RelayTimes, RelayedChanges};
 use strum::IntoEnumIterator;
 use tokio::time::{Instant, timeout_at};
 
 use super::wire::{
-    CONFIG_PATH, RESTORE_PATH, RelayQuery, RelayedBatch, UPDATES_PATH, encode, encode_batch,
+    CONFIG_PATH, PROOF_HEADER, RESTORE_PATH, RelayQuery, RelayedBatch, UPDATES_PATH, encode,
+    encode_batch, format_proof,
 };
 use crate::process::{FrontPhase, FrontState};
 use crate::request::serve_forwarded;
@@ -40,6 +43,7 @@
     State(state): State<Arc<FrontState>>,
     Query(query): Query<RelayQuery>,
 ) -> Response {
+    let arrived = state.permission.now();
     let Some(topic) = WatchTopic::iter().find(|topic| topic.to_string() == query.topic) else {
         return StatusCode::BAD_REQUEST.into_response();
     };
@@ -47,13 +51,18 @@
     let wait = Duration::from_millis(query.wait_ms).min(MAX_WAIT);
     let deadline = Instant::now() + wait;
     let mut changes = state.relay.changes();
+    let first_proof = state.permission.proof(topic);
+    let has_bounds = state.permission.max_wait(topic).is_some();
     loop {
-        if !is_relay(&state) {
+        // Read before the updates, which are therefore at least as new as the proof.
+        let proof = state.permission.proof(topic);
+        if !is_relay(&state) || (has_bounds && !state.permission.is_useful_proof(proof)) {
             return StatusCode::CONFLICT.into_response();
         }
-        let is_late = Instant::now() >= deadline;
-        if let Some(response) = reply(&state, topic, &query, is_late) {
-            return response;
+        let is_renewed = has_bounds && proof != first_proof;
+        let is_due = is_renewed || Instant::now() >= deadline;
+        if let Some(response) = reply(&state, topic, &query, is_due) {
+            return with_proof(response, proof, arrived);
         }
         let _changed_or_elapsed = timeout_at(deadline, changes.changed()).await;
     }
@@ -62,11 +71,21 @@
 /// Replies with the configuration in force, with 404 if there is none. Any instance may answer:
 /// versions only rise, so a reader never takes an older one.
 async fn read_config(State(state): State<Arc<FrontState>>) -> Response {
+    let arrived = state.permission.now();
+    let proof = state.permission.proof(WatchTopic::Config);
     let table = state.steering().table().cloned();
     let Some(table) = table else {
         return StatusCode::NOT_FOUND.into_response();
     };
-    encoded_response("config", encode(table.config()))
+    with_proof(encoded_response("config", encode(table.config())), proof, arrived)
+}
+
+/// Adds the header that states how old the data of a response is.
+fn with_proof(mut response: Response, proof: Option<ConfigProof>, arrived: PolicyTime) -> Response {
+    if let Ok(value) = HeaderValue::from_str(&format_proof(proof, arrived)) {
+        response.headers_mut().insert(PROOF_HEADER, value);
+    }
+    response
 }
 
 /// Replies with what this instance knows from before a restore of the source, with 204 if objects are
@@ -101,7 +120,7 @@
     state: &FrontState,
     topic: WatchTopic,
     query: &RelayQuery,
-    is_late: bool,
+    is_due: bool,
 ) -> Option<Response> {
     let log = state.relay.log(topic);
     let kept = match query.position() {
@@ -112,7 +131,7 @@
         Some(after) => match log.changes_after(after) {
             RelayedChanges::HistoryGone => return Some(StatusCode::GONE.into_response()),
             RelayedChanges::Unchanged => {
-                return is_late.then(|| StatusCode::NO_CONTENT.into_response());
+                return is_due.then(|| StatusCode::NO_CONTENT.into_response());
             }
             RelayedChanges::Updates(kept) => kept,
         },
--- a/crates/jackdawmux_front/src/relay/source.rs
+++ b/crates/jackdawmux_front/src/relay/source.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use jackdawmux_policy::fleet::permission::ConfigProof;
 use jackdawmux_policy::fleet::position::{SourcePosition, WatchTopic};
 use jackdawmux_policy::fleet::record::InstanceRecord;
 use jackdawmux_policy::fleet::relay::{ReadPath, RelayTimes};
@@ -11,10 +12,13 @@
 use strum::EnumCount;
 use tokio::time::{Instant, sleep, timeout};
 
-use super::wire::{RelayQuery, RelayedBatch, UPDATES_PATH, decode_batch};
+use super::wire::{
+    PROOF_HEADER, RelayQuery, RelayedBatch, UPDATES_PATH, decode_batch, parse_proof,
+};
 use crate::process::FrontState;
 use crate::source::{
-    FleetSource, ListFreshness, SourceError, SourceErrorKind, SourceFuture, UpdateBatch,
+    FleetSource, ListFreshness, ReadEvidence, SourceError, SourceErrorKind, SourceFuture,
+    UpdateBatch,
 };
 
 /// Longest wait, after the start, to learn whether the group has a relay.
@@ -26,6 +30,10 @@
 /// Longest wait of a watch at the source while the group has a relay that did not reply, after which
 /// the relay is tried again.
 const FALLBACK_WAIT: Duration = Duration::from_secs(2);
+/// The same for topics whose age must be proved: the relay has used up most of the time.
+const PROOF_FALLBACK_WAIT: Duration = Duration::from_millis(200);
+/// Time for the reply of a relay in addition to the wait, for these topics.
+const PROOF_REPLY_MARGIN: Duration = Duration::from_millis(500);
 /// Multiple of the wait at a relay for topics other than that of the endpoints, whose reads show
 /// often enough whether the relay still replies.
 const LONG_WAIT_FACTOR: u32 = 5;
@@ -39,16 +47,21 @@
     opened: Instant,
     /// Position of the latest batch of each topic. A relay that is behind it is not read.
     positions: Mutex<[SourcePosition; WatchTopic::COUNT]>,
+    /// Incarnation of the latest relay that does not state how old its data is. Its build does not
+    /// change while it runs.
+    unproven: Mutex<Option<u64>>,
 }
 
 /// Reply of a relay.
 enum RelayReply {
-    Updates(RelayedBatch),
+    Updates(RelayedBatch, Option<ConfigProof>),
     /// There are no updates after the reader's position.
-    Unchanged,
+    Unchanged(Option<ConfigProof>),
     HistoryGone,
     /// The instance does not read the source itself, or the source does not answer it.
     NotRelay,
+    /// The instance does not state how old its data is, as needed for this topic.
+    Unproven,
 }
 
 impl RelayedSource {
@@ -66,7 +79,8 @@
             .build()
             .map_err(|error| relay_error("relay-open", "-", &error))?;
         let positions = Mutex::default();
-        Ok(Self { source, state, client, opened: Instant::now(), positions })
+        let (opened, unproven) = (Instant::now(), Mutex::default());
+        Ok(Self { source, state, client, opened, positions, unproven })
     }
 
     /// Waits, shortly after the start, until it is known whether the group has a relay.
@@ -81,6 +95,30 @@
         }
     }
 
+    /// Selects from where a topic is read.
+    fn path_of(&self, topic: WatchTopic) -> ReadPath {
+        match self.state.read_path() {
+            ReadPath::Relay(relay) if self.is_unproven(topic, &relay) => ReadPath::Direct,
+            path => path,
+        }
+    }
+
+    fn needs_proof(&self, topic: WatchTopic) -> bool {
+        self.state.permission.max_wait(topic).is_some()
+    }
+
+    fn is_unproven(&self, topic: WatchTopic, relay: &InstanceRecord) -> bool {
+        let unproven = *self.unproven.lock().unwrap_or_else(PoisonError::into_inner);
+        unproven == Some(relay.incarnation) && self.needs_proof(topic)
+    }
+
+    fn record_unproven(&self, topic: WatchTopic, relay: &InstanceRecord) {
+        let mut unproven = self.unproven.lock().unwrap_or_else(PoisonError::into_inner);
+        if unproven.replace(relay.incarnation) != Some(relay.incarnation) {
+            log::info!("event=relay-unproven relay={} topic={topic}", relay.name);
+        }
+    }
+
     async fn list_relayed(
         &self,
         topic: WatchTopic,
@@ -89,11 +127,12 @@
         let is_bypassed = self.state.bypasses_relay[topic as usize].swap(false, Ordering::Relaxed);
         let times = RelayTimes::new(self.state.settings.bounds.update_deadline);
         let deadline = Instant::now() + times.wait;
-        while !is_bypassed && let ReadPath::Relay(relay) = self.state.read_path() {
+        while !is_bypassed && let ReadPath::Relay(relay) = self.path_of(topic) {
             match self.read(&relay, topic, None, Duration::ZERO).await {
-                Ok(RelayReply::Updates(batch)) if self.is_current(topic, &batch) => {
-                    return Ok(self.accept(topic, batch));
+                Ok(RelayReply::Updates(batch, proof)) if self.is_current(topic, &batch) => {
+                    return Ok(self.accept(topic, batch, proof));
                 }
+                Ok(RelayReply::Unproven) => self.record_unproven(topic, &relay),
                 // After an outage the relay reads the source at about the same time.
                 Ok(RelayReply::NotRelay) if Instant::now() < deadline => {
                     sleep(RETRY_INTERVAL).await;
@@ -115,28 +154,34 @@
     ) -> Result<UpdateBatch, SourceError> {
         let deadline = Instant::now() + wait;
         // How instances find each other cannot depend on a relay.
-        let mut path = if topic == WatchTopic::Instances {
-            self.state.read_path()
+        let mut path = if topic == WatchTopic::Instances || self.needs_proof(topic) {
+            self.path_of(topic)
         } else {
             self.decide().await
         };
         let mut is_fallback = false;
         while let ReadPath::Relay(relay) = path {
-            let read = self.read(&relay, topic, Some(position), self.relay_wait(topic)).await;
-            if matches!(read, Ok(RelayReply::Updates(_) | RelayReply::Unchanged)) {
+            let relay_wait = self.relay_wait(topic).min(wait);
+            let read = self.read(&relay, topic, Some(position), relay_wait).await;
+            if matches!(read, Ok(RelayReply::Updates(..) | RelayReply::Unchanged(_))) {
                 self.state.connectivity.record_relay_reply();
             }
             match read {
-                Ok(RelayReply::Updates(batch)) => return Ok(self.accept(topic, batch)),
+                Ok(RelayReply::Updates(batch, proof)) => {
+                    return Ok(self.accept(topic, batch, proof));
+                }
                 Ok(RelayReply::HistoryGone) => {
                     let kind = SourceErrorKind::HistoryGone;
                     let (step, peer) = ("relay-watch", relay.name.clone());
                     return Err(SourceError { step, peer, kind, reason: "status 410".to_owned() });
                 }
-                Ok(RelayReply::Unchanged) if Instant::now() >= deadline => {
-                    return Ok(UpdateBatch::unchanged(position));
+                Ok(RelayReply::Unchanged(proof))
+                    if Instant::now() >= deadline || self.needs_proof(topic) =>
+                {
+                    return Ok(UpdateBatch::unchanged(position, ReadEvidence::Relay(proof)));
                 }
-                Ok(RelayReply::Unchanged) => {}
+                Ok(RelayReply::Unchanged(_)) => {}
+                Ok(RelayReply::Unproven) => self.record_unproven(topic, &relay),
                 Ok(RelayReply::NotRelay) => {
                     self.suspect(&relay, &relay_error("relay-watch", &relay.name, &"not a relay"));
                     is_fallback = true;
@@ -146,10 +191,12 @@
                     is_fallback = true;
                 }
             }
-            path = self.state.read_path();
+            path = self.path_of(topic);
         }
-        let wait =
-            if is_fallback || path == ReadPath::Undecided { wait.min(FALLBACK_WAIT) } else { wait };
+        let fallback_wait =
+            if self.needs_proof(topic) { PROOF_FALLBACK_WAIT } else { FALLBACK_WAIT };
+        let is_short = is_fallback || path == ReadPath::Undecided;
+        let wait = if is_short { wait.min(fallback_wait) } else { wait };
         let batch = self.source.watch(topic, position, wait).await?;
         if !batch.updates.is_empty() {
             self.record_position(topic, batch.position);
@@ -167,7 +214,12 @@
     ) -> Result<RelayReply, SourceError> {
         let mut suspicions = self.state.relay_suspicions.subscribe();
         let times = RelayTimes::new(self.state.settings.bounds.update_deadline);
-        let limit = wait + times.reply_timeout.saturating_sub(times.wait);
+        let margin = if self.needs_proof(topic) {
+            PROOF_REPLY_MARGIN
+        } else {
+            times.reply_timeout.saturating_sub(times.wait)
+        };
+        let limit = wait + margin;
         let reading = timeout(limit, self.request(relay, topic, position, wait));
         tokio::select! {
             biased;
@@ -200,14 +252,23 @@
         let url = format!("http://{}{UPDATES_PATH}", relay.heartbeat_address);
         let request = self.client.get(url).query(&query);
         let failed = |error: &dyn std::fmt::Display| relay_error("relay-read", &relay.name, error);
+        let sent = self.state.permission.now();
         let response = request.send().await.map_err(|error| failed(&error))?;
+        let received = self.state.permission.now();
+        let header = response.headers().get(PROOF_HEADER).and_then(|value| value.to_str().ok());
+        let proof = header.and_then(|text| parse_proof(text, sent, received));
+        let is_data = matches!(response.status(), StatusCode::OK | StatusCode::NO_CONTENT);
+        if is_data && proof.is_none() && self.needs_proof(topic) {
+            return Ok(RelayReply::Unproven);
+        }
+        let proof = proof.flatten();
         match response.status() {
             StatusCode::OK => {
                 let bytes = response.bytes().await.map_err(|error| failed(&error))?;
                 let batch = decode_batch(&bytes).map_err(|error| failed(&error))?;
-                Ok(RelayReply::Updates(batch))
+                Ok(RelayReply::Updates(batch, proof))
             }
-            StatusCode::NO_CONTENT => Ok(RelayReply::Unchanged),
+            StatusCode::NO_CONTENT => Ok(RelayReply::Unchanged(proof)),
             StatusCode::GONE => Ok(RelayReply::HistoryGone),
             StatusCode::CONFLICT => Ok(RelayReply::NotRelay),
             status => Err(failed(&format_args!("status {}", status.as_u16()))),
@@ -231,11 +292,17 @@
         position >= positions[topic as usize]
     }
 
-    fn accept(&self, topic: WatchTopic, batch: RelayedBatch) -> UpdateBatch {
+    fn accept(
+        &self,
+        topic: WatchTopic,
+        batch: RelayedBatch,
+        proof: Option<ConfigProof>,
+    ) -> UpdateBatch {
         let RelayedBatch { era, revision, newest_revision, updates } = batch;
         let position = SourcePosition { era, revision };
         self.record_position(topic, position);
-        UpdateBatch { updates, position, newest_revision, is_relayed: true }
+        let evidence = ReadEvidence::Relay(proof);
+        UpdateBatch { updates, position, newest_revision, is_relayed: true, evidence }
     }
 
     fn record_position(&self, topic: WatchTopic, position: SourcePosition) {
--- a/crates/jackdawmux_front/src/relay/wire.rs
+++ b/crates/jackdawmux_front/src/relay/wire.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 
+use jackdawmux_policy::clock::PolicyTime;
+use jackdawmux_policy::fleet::permission::ConfigProof;
 use jackdawmux_policy::fleet::position::SourcePosition;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -15,6 +17,41 @@
 /// Path of what is known from before a restore of the source.
 pub(super) const RESTORE_PATH: &str = "/relay/restore";
 
+/// Header that states how long after the arrival of the request the read began with which the
+/// sender last found its state to be current, in microseconds, and the version of the configuration
+/// then. Builds that do not know teams omit it.
+pub(super) const PROOF_HEADER: &str = "jackdawmux-config-proof";
+/// Value of the header if there was no such read.
+const NO_PROOF: &str = "none";
+
+/// Formats a proof for the reply to a request that arrived at this time.
+pub fn format_proof(proof: Option<ConfigProof>, arrived: PolicyTime) -> String {
+    let Some(ConfigProof { started, version }) = proof else {
+        return NO_PROOF.to_owned();
+    };
+    let offset = i128::from(started.0) - i128::from(arrived.0);
+    format!("{offset} {version}")
+}
+
+/// Parses a proof from the reply to a request that was sent at this time, in terms of the own clock.
+/// The request arrived later, so the result is never later than the actual start of the read. `None`
+/// if the text is malformed, `Some(None)` if there was no such read.
+pub fn parse_proof(
+    text: &str,
+    sent: PolicyTime,
+    received: PolicyTime,
+) -> Option<Option<ConfigProof>> {
+    if text == NO_PROOF {
+        return Some(None);
+    }
+    let (offset, version) = text.split_once(' ')?;
+    let offset: i64 = offset.parse().ok()?;
+    let version = version.parse().ok()?;
+    let started = PolicyTime(sent.0.saturating_add_signed(offset));
+    // A read that has not begun yet cannot have been answered.
+    Some((started <= received).then_some(ConfigProof { started, version }))
+}
+
 /// Read from a relay, as the query of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct RelayQuery {
--- a/crates/jackdawmux_front/src/source.rs
+++ b/crates/jackdawmux_front/src/source.rs
@@ -3,6 +3,7 @@
 use std::pin::Pin;
 use std::time::Duration;
 
+use jackdawmux_policy::fleet::permission::{ConfigProof, ShownConfig};
 pub use jackdawmux_policy::fleet::position::{SourcePosition, WatchTopic};
 use jackdawmux_policy::fleet::record::{ConfigRecord, EndpointRecord, InstanceRecord};
 use serde::{Deserialize, Serialize};
@@ -65,6 +66,18 @@
     MayBeOld,
 }
 
+/// What a reply shows about the age of the data, in addition to its updates.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ReadEvidence {
+    /// The source replied, and all that it named was decoded.
+    #[default]
+    Source,
+    /// The source replied, but its latest configuration could not be decoded.
+    Undecoded,
+    /// A relay replied; none if it could not state when its own read began.
+    Relay(Option<ConfigProof>),
+}
+
 /// Updates with the position from which the next watch continues.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UpdateBatch {
@@ -76,13 +89,30 @@
     pub newest_revision: u64,
     /// Whether another instance has read them from the source.
     pub is_relayed: bool,
+    /// What the reply shows about its age.
+    pub evidence: ReadEvidence,
 }
 
 impl UpdateBatch {
     /// A reply without updates.
     #[must_use]
-    pub const fn unchanged(position: SourcePosition) -> Self {
-        Self { updates: Vec::new(), position, newest_revision: 0, is_relayed: false }
+    pub const fn unchanged(position: SourcePosition, evidence: ReadEvidence) -> Self {
+        Self { updates: Vec::new(), position, newest_revision: 0, is_relayed: false, evidence }
+    }
+
+    /// The configuration that the reply shows. A full list shows none unless it contains one.
+    #[must_use]
+    pub fn shown_config(&self, is_full_list: bool) -> ShownConfig {
+        let version = self.updates.iter().rev().find_map(|update| match update {
+            FleetUpdate::Config(config) => Some(config.version),
+            _ => None,
+        });
+        match version {
+            _ if self.evidence == ReadEvidence::Undecoded => ShownConfig::Unknown,
+            Some(version) => ShownConfig::Version(version),
+            None if is_full_list => ShownConfig::Unknown,
+            None => ShownConfig::Unchanged,
+        }
     }
 }
 
--- a/crates/jackdawmux_native/src/source.rs
+++ b/crates/jackdawmux_native/src/source.rs
@@ -5,8 +5,8 @@
 
 use jackdawmux_front::source::SourceFuture;
 use jackdawmux_front::{
-    FleetSource, FleetUpdate, ListFreshness, SourceError, SourceErrorKind, SourcePosition,
-    UpdateBatch, WatchTopic,
+    FleetSource, FleetUpdate, ListFreshness, ReadEvidence, SourceError, SourceErrorKind,
+    SourcePosition, UpdateBatch, WatchTopic,
 };
 use jackdawmux_policy::fleet::record::InstanceRecord;
 use jackdawmux_rules::{FleetRules, parse_rules, render_diagnostics};
@@ -165,5 +165,6 @@
 /// Updates as of a version of the object that holds them. The store keeps one history.
 const fn batch(updates: Vec<FleetUpdate>, version: u64) -> UpdateBatch {
     let position = SourcePosition::first_era(version);
-    UpdateBatch { updates, position, newest_revision: version, is_relayed: false }
+    let evidence = ReadEvidence::Source;
+    UpdateBatch { updates, position, newest_revision: version, is_relayed: false, evidence }
 }
--- a/crates/jackdawmux_policy/src/fleet/mod.rs
+++ b/crates/jackdawmux_policy/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 pub mod freshness;
 mod notices;
 pub mod outlier;
+pub mod permission;
 pub mod placement;
 pub mod position;
 pub mod reachability;
--- a/crates/jackdawmux_runtime/src/lib.rs
+++ b/crates/jackdawmux_runtime/src/lib.rs
@@ -1,6 +1,7 @@
 //! Runtime services shared by all processes: clocks, timers, listeners for callers, metrics and
 //! logging.
 
+mod boot_clock;
 mod clock;
 mod guarded_stream;
 mod head_guard;
@@ -13,6 +14,7 @@
 mod stop_signal;
 mod timer;
 
+pub use boot_clock::BootClock;
 pub use clock::ProcessClock;
 pub use guarded_stream::GuardedStream;
 pub use head_guard::{FramingTracker, HeadError, HeadObserver};
--- a/crates/jackdawmux_runtime/src/metrics.rs
+++ b/crates/jackdawmux_runtime/src/metrics.rs
@@ -31,6 +31,7 @@
     forwarded: Counter<u64>,
     config_version: Gauge<u64>,
     isolated: Gauge<u64>,
+    permission_age: Gauge<f64>,
     alarms: Counter<u64>,
 }
 
@@ -56,6 +57,7 @@
                 .build(),
             retries: meter.u64_counter("jackdawmux_retries").build(),
             isolated: meter.u64_gauge("jackdawmux_isolated").build(),
+            permission_age: meter.f64_gauge("jackdawmux_permission_age_seconds").build(),
             forwarded: meter.u64_counter("jackdawmux_forwarded_requests").build(),
             config_version: meter.u64_gauge("jackdawmux_config_version").build(),
             alarms: meter.u64_counter("jackdawmux_alarms").build(),
@@ -94,6 +96,12 @@
         self.isolated.record(u64::from(is_isolated), &[]);
     }
 
+    /// Sets the time since the start of the latest read that showed the configuration in force to be
+    /// the newest.
+    pub fn set_permission_age(&self, age: Duration) {
+        self.permission_age.record(age.as_secs_f64(), &[]);
+    }
+
     /// Counts an alarm, a condition that an operator should investigate.
     pub fn count_alarm(&self, kind: &str) {
         self.alarms.add(1, &[KeyValue::new("kind", kind.to_owned())]);
