caps: request caps of teams over all instances

Holders, one a region by rendezvous hashing, keep token buckets; instances ask them over UDP. Decisions are in policy::fleet::cap without I/O; front::process::cap_service has the socket and the waiting requests. The request path does not take tokens yet (FrontState::caps().acquire is the interface).

--- a/crates/jackdawmux_entry/src/front/native.rs
+++ b/crates/jackdawmux_entry/src/front/native.rs
@@ -162,6 +162,7 @@
         ready_listen: flags.ready_listen,
         directory_listen: flags.directory_listen,
         heartbeat_listen: flags.heartbeat_listen,
+        cap_listen: None,
         metrics_listen: flags.metrics_port.map(|port| SocketAddr::new(ip, port)),
         capacity_permille: flags.capacity_permille,
         max_descriptors: flags.max_descriptors,
--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -115,7 +115,11 @@
         let peer_limits = state.peer_limits.subscribe();
         let relay = listen("relay-listen", settings.heartbeat_listen, router, &peer_limits).await?;
         // Heartbeats and reads from the relay use the same port, which the registration names.
-        let socket = Arc::new(bind_datagrams(relay.address).await?);
+        let socket = Arc::new(bind_datagrams("heartbeat-listen", relay.address).await?);
+        let cap_socket = match settings.cap_address() {
+            Some(address) => Some(bind_datagrams("cap-listen", address).await?),
+            None => None,
+        };
         let router = front_router(Arc::clone(&state));
         let filter = read_ahead_filter(Arc::clone(&state));
         let (listener, address) = bind("listen", settings.listen).await?;
@@ -178,8 +182,13 @@
             domain: settings.domain.clone(),
             capacity_permille: settings.capacity_permille,
             incarnation: state.incarnation,
-            cap_address: None,
+            cap_address: cap_socket.as_ref().map(bound_address).transpose()?,
         };
+        if let Some(socket) = cap_socket {
+            let proof_state = Arc::clone(&state);
+            let proof_age = move || proof_state.instances_proof_age();
+            tasks.spawn(Arc::clone(&state.cap_service).run(socket, proof_age));
+        }
         tasks.spawn(register(record, Arc::clone(&source), Arc::clone(&state)));
         let ticks = timers.every(CLEANUP_INTERVAL);
         tasks.spawn(remove_abandoned(ticks, Arc::clone(&source), Arc::clone(&state)));
@@ -247,6 +256,8 @@
             cuts_at: now + grace.mul_f64(STOP_SHARE),
         });
         state.enter_phase(FrontPhase::Leaving);
+        // Another instance holds the caps once the registration is withdrawn.
+        state.cap_service.stop_granting();
         // The readers of the group turn to another relay.
         state.relay.wake_readers();
         let announcement = announce_stop(&state, &socket);
@@ -288,8 +299,8 @@
     Ok((listener, bound))
 }
 
-async fn bind_datagrams(address: SocketAddr) -> Result<UdpSocket, FrontError> {
-    let context = BindSnafu { step: "heartbeat-listen", address: address.to_string() };
+async fn bind_datagrams(step: &'static str, address: SocketAddr) -> Result<UdpSocket, FrontError> {
+    let context = BindSnafu { step, address: address.to_string() };
     UdpSocket::bind(address).await.context(context)
 }
 
@@ -311,6 +322,10 @@
     socket.local_addr().context(BindSnafu { step: "heartbeat-listen", address })
 }
 
+fn bound_address(socket: &UdpSocket) -> Result<SocketAddr, FrontError> {
+    socket.local_addr().context(BindSnafu { step: "cap-listen", address: "" })
+}
+
 /// Registers this instance, and registers it again if its registration is removed while it serves.
 /// Retries for as long as the source is unreachable.
 async fn register(record: InstanceRecord, source: Arc<dyn FleetSource>, state: Arc<FrontState>) {
--- a/crates/jackdawmux_front/src/process/settings.rs
+++ b/crates/jackdawmux_front/src/process/settings.rs
@@ -22,6 +22,9 @@
     pub directory_listen: SocketAddr,
     /// UDP address on which heartbeats are received.
     pub heartbeat_listen: SocketAddr,
+    /// UDP address on which other instances ask for tokens of request caps; none if the deployment
+    /// has no caps.
+    pub cap_listen: Option<SocketAddr>,
     /// Address for metrics; none disables them.
     pub metrics_listen: Option<SocketAddr>,
     /// Capacity, in thousandths of a CPU core.
@@ -31,3 +34,10 @@
     /// Bounds that the instances must observe jointly.
     pub bounds: FleetBounds,
 }
+
+impl FrontSettings {
+    /// Address for request caps; none if they are not enforced.
+    pub(crate) fn cap_address(&self) -> Option<SocketAddr> {
+        self.cap_listen.filter(|_| self.bounds.teams.is_some_and(|teams| teams.has_caps))
+    }
+}
--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -5,15 +5,18 @@
 use std::time::Duration;
 
 use jackdawmux_policy::clock::PolicyTime;
+use jackdawmux_policy::fleet::cap::CapRefusal;
 use jackdawmux_policy::fleet::config_freshness::ConfigFreshness;
 use jackdawmux_policy::fleet::directory::InstanceDirectory;
 use jackdawmux_policy::fleet::freshness::FreshnessTracker;
+use jackdawmux_policy::fleet::record::TeamRecord;
 use jackdawmux_policy::fleet::relay::{ReadPath, RelaySuspicions};
 use jackdawmux_policy::fleet::steering::FleetSteering;
 use jackdawmux_runtime::{ListenerLimits, ProcessClock, ProcessMetrics};
 use strum::{Display, EnumCount, FromRepr};
 use tokio::sync::{Notify, Semaphore, watch};
 
+use super::cap_service::{CapPermit, CapService};
 use super::connectivity::SourceConnectivity;
 use super::settings::FrontSettings;
 use crate::dialect::WireDialect;
@@ -92,6 +95,7 @@
     config_freshness: Mutex<ConfigFreshness>,
     freshness: Mutex<FreshnessTracker>,
     directory: Mutex<InstanceDirectory>,
+    pub(crate) cap_service: Arc<CapService>,
     registered_at: Mutex<Option<SourcePosition>>,
     phase: AtomicU8,
     stop: OnceLock<PlannedStop>,
@@ -112,10 +116,14 @@
         let peer_limits = watch::Sender::new(*limits.borrow());
         let capacity = usize::try_from(settings.capacity_permille).unwrap_or(usize::MAX);
         let max_forwarded = (capacity / CAPACITY_PER_FORWARDED).max(MIN_FORWARDED);
+        let clock = ProcessClock::default();
+        let region = regions.get(domain).map_or("", String::as_str);
+        let has_caps = settings.cap_address().is_some();
+        let cap_service = CapService::new(own, region, has_caps, clock, metrics.caps().clone());
         let directory = InstanceDirectory::new(&settings.instance, regions);
         Self {
             dialect,
-            clock: ProcessClock::default(),
+            clock,
             metrics,
             pool: UpstreamPool::default(),
             peers: UpstreamPool::default(),
@@ -139,6 +147,7 @@
             config_freshness: Mutex::default(),
             freshness: Mutex::default(),
             directory: Mutex::new(directory),
+            cap_service: Arc::new(cap_service),
             registered_at: Mutex::default(),
             phase: AtomicU8::new(FrontPhase::Starting as u8),
             stop: OnceLock::new(),
@@ -171,6 +180,12 @@
         self.directory.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Request caps of teams.
+    #[must_use]
+    pub const fn caps(&self) -> CapAccess<'_> {
+        CapAccess { state: self }
+    }
+
     /// Locks the position at which this instance was registered; none while it is not.
     pub(crate) fn registered_at(&self) -> MutexGuard<'_, Option<SourcePosition>> {
         self.registered_at.lock().unwrap_or_else(PoisonError::into_inner)
@@ -237,3 +252,25 @@
         log::info!("event=phase-changed from={before} to={phase}");
     }
 }
+
+/// Access of requests to the caps of their teams.
+#[derive(Clone, Copy, Debug)]
+pub struct CapAccess<'state> {
+    state: &'state FrontState,
+}
+
+impl CapAccess<'_> {
+    /// Requests a token of the cap of a team; returns at once if it has no cap. The wait is bounded
+    /// by 250 ms and checked against the deadline each time that a holder does not reply.
+    ///
+    /// # Errors
+    /// When the request is above the cap, or no holder of the cap replies. It must not be run.
+    pub async fn acquire(
+        self,
+        team: &TeamRecord,
+        deadline: PolicyTime,
+    ) -> Result<CapPermit, CapRefusal> {
+        let proof_age = self.state.instances_proof_age();
+        self.state.cap_service.acquire(team, deadline, proof_age).await
+    }
+}
--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -228,7 +228,9 @@
                 let records: Vec<InstanceRecord> = records.collect();
                 self.check_registration(&records, position);
                 let is_settling = self.state.steering().is_settling(now);
-                self.state.directory().replace(records, is_settling);
+                let mut directory = self.state.directory();
+                directory.replace(records, is_settling);
+                self.state.cap_service.replace(directory.registrations());
             }
         }
     }
@@ -257,11 +259,14 @@
                     record.name,
                     record.address
                 );
-                self.state.directory().register(record);
+                let mut directory = self.state.directory();
+                self.state.cap_service.register(&record, directory.region_of(&record.domain));
+                directory.register(record);
             }
             FleetUpdate::InstanceRemoved(name) => {
                 log::info!("event=instance-withdrawn instance={name} at={position}");
                 self.state.directory().withdraw(&name);
+                self.state.cap_service.withdraw(&name);
                 if name == self.state.settings.instance {
                     self.request_registration();
                 }
@@ -294,10 +299,12 @@
     pub(super) fn apply_config(&self, config: ConfigRecord, origin: &dyn Display) {
         let (version, limits) = (config.version, config.limits);
         let (routes, services) = (config.routes.len(), config.services.len());
+        let teams = config.teams.clone().unwrap_or_default();
         if !self.state.steering().apply_config(config) {
             log::info!("event=config-ignored version={version} {origin} reason=not-newer");
             return;
         }
+        self.state.cap_service.set_teams(&teams);
         self.state.metrics.set_config_version(version);
         self.apply_limits(&limits);
         log::info!(
--- a/crates/jackdawmux_front/src/request/refusal.rs
+++ b/crates/jackdawmux_front/src/request/refusal.rs
@@ -5,6 +5,7 @@
 use axum::body::Body;
 use axum::http::header::{CONTENT_TYPE, RETRY_AFTER};
 use axum::http::{HeaderValue, Response, StatusCode};
+use jackdawmux_policy::fleet::cap::CapRefusal;
 use jackdawmux_policy::fleet::choice::{ChoiceRefusal, ChoiceRefusalReason};
 use serde_json::json;
 use strum::Display;
@@ -53,10 +54,26 @@
     DeadlinePassed,
     /// The request is blocked, because it crashed the endpoints that ran it.
     Poisonous,
+    /// The team's request cap is used up; it was not run. Holds the retry-after delay.
+    #[strum(to_string = "over-cap")]
+    OverCap(Duration),
+    /// Nobody could tell whether the request is within the team's cap; it was not run. Holds the
+    /// retry-after delay.
+    #[strum(to_string = "cap-unknown")]
+    CapUnknown(Duration),
     /// The endpoint sent no complete, valid response; the request may have run.
     UpstreamLost,
 }
 
+impl From<CapRefusal> for FrontRefusal {
+    fn from(refusal: CapRefusal) -> Self {
+        match refusal {
+            CapRefusal::OverCap { retry_after } => Self::OverCap(retry_after),
+            CapRefusal::Unknown { retry_after } => Self::CapUnknown(retry_after),
+        }
+    }
+}
+
 impl From<BodyError> for FrontRefusal {
     fn from(error: BodyError) -> Self {
         match error {
@@ -67,7 +84,7 @@
 }
 
 impl FrontRefusal {
-    /// Status code sent to the caller. 503 is used only if the request certainly did not run.
+    /// Status code sent to the caller. 429 and 503 are used only if the request certainly did not run.
     pub(crate) const fn status(self) -> StatusCode {
         match self {
             Self::NoConfiguration
@@ -76,7 +93,9 @@
             | Self::Unreachable
             | Self::Isolated
             | Self::Stopping
+            | Self::CapUnknown(_)
             | Self::DeadlineUnsent => StatusCode::SERVICE_UNAVAILABLE,
+            Self::OverCap(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken => StatusCode::BAD_REQUEST,
@@ -90,7 +109,9 @@
         match self {
             Self::NoConfiguration => Some(STARTING_RETRY_AFTER),
             Self::NotChosen(refusal) => Some(refusal.retry_after),
-            Self::Shed(retry_after) => Some(retry_after),
+            Self::Shed(retry_after)
+            | Self::OverCap(retry_after)
+            | Self::CapUnknown(retry_after) => Some(retry_after),
             Self::Isolated => Some(ISOLATED_RETRY_AFTER),
             Self::Stopping => Some(STOPPING_RETRY_AFTER),
             Self::Unreachable | Self::DeadlineUnsent => Some(UNREACHABLE_RETRY_AFTER),
@@ -122,7 +143,11 @@
 
     /// Response to the caller, as problem details in JSON.
     pub(crate) fn response(self) -> Response<Body> {
-        let outcome = if self.status() == StatusCode::SERVICE_UNAVAILABLE { "not-run" } else { "" };
+        let is_not_run = matches!(
+            self.status(),
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+        );
+        let outcome = if is_not_run { "not-run" } else { "" };
         let problem = json!({
             "type": format!("urn:jackdawmux:{}", self.kind()),
             "status": self.status().as_u16(),
--- a/crates/jackdawmux_native/tests/native.rs
+++ b/crates/jackdawmux_native/tests/native.rs
@@ -86,6 +86,7 @@
         ready_listen: ANY_PORT,
         directory_listen: ANY_PORT,
         heartbeat_listen: ANY_PORT,
+        cap_listen: None,
         metrics_listen: None,
         capacity_permille: 1_000,
         max_descriptors: 1_000,
--- a/crates/jackdawmux_policy/src/fleet/directory.rs
+++ b/crates/jackdawmux_policy/src/fleet/directory.rs
@@ -323,7 +323,14 @@
             .collect()
     }
 
-    fn region_of(&self, domain: &str) -> &str {
+    /// Returns all registrations with the regions of the instances.
+    pub fn registrations(&self) -> impl Iterator<Item = (&InstanceRecord, &str)> {
+        self.registered.values().map(|record| (record, self.region_of(&record.domain)))
+    }
+
+    /// Returns the region of a failure domain; empty if the failure domain is unknown.
+    #[must_use]
+    pub fn region_of(&self, domain: &str) -> &str {
         self.regions.get(domain).map_or("", String::as_str)
     }
 }
--- a/crates/jackdawmux_policy/src/fleet/mod.rs
+++ b/crates/jackdawmux_policy/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod affinity;
 pub mod backoff;
+pub mod cap;
 pub mod choice;
 pub mod cold_start;
 pub mod config_freshness;
--- a/crates/jackdawmux_runtime/src/metrics.rs
+++ b/crates/jackdawmux_runtime/src/metrics.rs
@@ -19,6 +19,33 @@
     reason: String,
 }
 
+/// Metrics of request caps.
+#[derive(Clone, Debug)]
+pub struct CapMetrics {
+    requests: Counter<u64>,
+    tokens: Counter<u64>,
+    datagrams: Counter<u64>,
+}
+
+impl CapMetrics {
+    /// Counts a request of a team with a cap, once it is decided.
+    pub fn count_request(&self, outcome: &'static str) {
+        self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts tokens that another instance asked this one for.
+    pub fn count_tokens(&self, outcome: &'static str, count: u64) {
+        if count > 0 {
+            self.tokens.add(count, &[KeyValue::new("outcome", outcome)]);
+        }
+    }
+
+    /// Counts a datagram about caps.
+    pub fn count_datagram(&self, kind: &'static str) {
+        self.datagrams.add(1, &[KeyValue::new("kind", kind)]);
+    }
+}
+
 /// Metrics of one instance.
 #[derive(Debug)]
 pub struct ProcessMetrics {
@@ -32,6 +59,7 @@
     config_version: Gauge<u64>,
     isolated: Gauge<u64>,
     alarms: Counter<u64>,
+    caps: CapMetrics,
 }
 
 impl ProcessMetrics {
@@ -59,6 +87,11 @@
             forwarded: meter.u64_counter("jackdawmux_forwarded_requests").build(),
             config_version: meter.u64_gauge("jackdawmux_config_version").build(),
             alarms: meter.u64_counter("jackdawmux_alarms").build(),
+            caps: CapMetrics {
+                requests: meter.u64_counter("jackdawmux_cap_requests").build(),
+                tokens: meter.u64_counter("jackdawmux_cap_tokens").build(),
+                datagrams: meter.u64_counter("jackdawmux_cap_datagrams").build(),
+            },
             registry,
             _provider: provider,
         })
@@ -99,6 +132,12 @@
         self.alarms.add(1, &[KeyValue::new("kind", kind.to_owned())]);
     }
 
+    /// Returns the metrics of request caps.
+    #[must_use]
+    pub const fn caps(&self) -> &CapMetrics {
+        &self.caps
+    }
+
     /// Renders all metrics in the Prometheus text format.
     #[must_use]
     pub fn render(&self) -> String {
