--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -243,7 +243,9 @@
                 let records: Vec<InstanceRecord> = records.collect();
                 self.check_registration(&records, position);
                 let is_settling = self.state.steering().is_settling(now);
-                self.state.directory().replace(records, is_settling);
+                let mut directory = self.state.directory();
+                directory.replace(records, is_settling);
+                self.state.cap_service.replace(directory.registrations());
             }
         }
     }
@@ -272,11 +274,14 @@
                     record.name,
                     record.address
                 );
-                self.state.directory().register(record);
+                let mut directory = self.state.directory();
+                self.state.cap_service.register(&record, directory.region_of(&record.domain));
+                directory.register(record);
             }
             FleetUpdate::InstanceRemoved(name) => {
                 log::info!("event=instance-withdrawn instance={name} at={position}");
                 self.state.directory().withdraw(&name);
+                self.state.cap_service.withdraw(&name);
                 if name == self.state.settings.instance {
                     self.request_registration();
                 }
@@ -327,6 +332,7 @@
         self.state.permission.set_has_teams(has_teams || self.state.has_teams());
         self.state.steering().apply_table(Arc::clone(&table));
         self.state.permission.set_has_teams(has_teams);
+        self.state.cap_service.set_teams(table.config().teams.as_deref().unwrap_or_default());
         self.state.metrics.set_config_version(version);
         self.apply_limits(&limits);
         let conflicts = table.key_conflicts();
--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -8,7 +8,9 @@
 use axum::http::header::CONTENT_LENGTH;
 use axum::http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use jackdawmux_policy::clock::PolicyTime;
 use jackdawmux_policy::fleet::backoff::MAX_PAUSE;
+use jackdawmux_policy::fleet::cap::CapRefusal;
 use jackdawmux_policy::fleet::choice::{
     ConnectedOnly, EndpointChoice, EndpointKey, EndpointNotice, EndpointQuery, LimitStatement,
     NoticeEffect,
@@ -30,7 +32,7 @@
 use super::streamed_response::{OpenResponse, stream_response};
 use super::team_access::{KeyPermission, RequestAccess};
 use crate::dialect::ResponseHeaders;
-use crate::process::FrontState;
+use crate::process::{CapPermit, FrontState};
 use crate::upstream::{Exchange, ExchangeOutcome, PooledConnection, exchange};
 
 /// Connections that one request may fail to open. They are limited separately, because an endpoint
@@ -93,6 +95,8 @@
     pub(super) sent: &'task SentFlag,
     /// The decision about the key for the present attempt.
     pub(super) access: RequestAccess,
+    /// Token of the team's request cap; taken once, before the first attempt at an endpoint.
+    cap_permit: Option<CapPermit>,
     attempted: SmallVec<[EndpointKey; 4]>,
     /// Attempts of which bytes reached an endpoint.
     pub(super) delivered: u32,
@@ -112,7 +116,8 @@
         let delivered = plan.hop.as_ref().map_or(0, |hop| hop.delivered);
         let (attempted, peers) = (SmallVec::new(), SmallVec::new());
         let access = plan.access.clone();
-        Self { state, plan, body, log_entry, sent, access, attempted, delivered, peers }
+        let cap_permit = None;
+        Self { state, plan, body, log_entry, sent, access, cap_permit, attempted, delivered, peers }
     }
 
     /// Makes attempts until a response is final or no further attempt is allowed.
@@ -125,7 +130,7 @@
         let mut unreachable = 0;
         let mut refusal = FrontRefusal::Shed(SHED_RETRY_AFTER);
         loop {
-            let target = match self.check_access().and_then(|()| self.choose()) {
+            let target = match self.select_target().await {
                 Ok(target) => target,
                 Err(chosen) if self.log_entry.attempt_count() == 0 => return Err(chosen),
                 Err(chosen) => {
@@ -227,6 +232,20 @@
         MAX_CONNECT_FAILURES + if is_isolated { MAX_PEERS } else { 0 }
     }
 
+    /// Selects where the next attempt is made, within the request cap of the team. A peer that the
+    /// request is forwarded to takes the token itself.
+    async fn select_target(&mut self) -> Result<AttemptTarget, FrontRefusal> {
+        if self.cap_permit.is_none() && !self.state.steering().reachability().is_isolated() {
+            let (state, deadline) = (self.state, self.plan.deadline);
+            self.cap_permit = Some(acquire_cap(state, self.access.clone(), deadline).await?);
+        }
+        let target = self.check_access().and_then(|()| self.choose());
+        if target.is_err() && self.log_entry.attempt_count() == 0 {
+            self.cap_permit.take().into_iter().for_each(CapPermit::give_back);
+        }
+        target
+    }
+
     /// Looks the key up in the configuration in force, which may have changed since the request
     /// arrived or since its latest attempt.
     fn check_access(&mut self) -> Result<(), FrontRefusal> {
@@ -490,6 +509,22 @@
     }
 }
 
+/// Takes a token of the team's request cap.
+async fn acquire_cap(
+    state: &FrontState,
+    access: RequestAccess,
+    deadline: PolicyTime,
+) -> Result<CapPermit, FrontRefusal> {
+    let Some(team) = access.team() else {
+        return Ok(CapPermit::unlimited());
+    };
+    let acquired = state.caps().acquire(team, deadline).await;
+    acquired.map_err(|refusal| match refusal {
+        CapRefusal::OverCap { retry_after } => FrontRefusal::OverCap(retry_after),
+        CapRefusal::Unknown { retry_after } => FrontRefusal::CapUnknown(retry_after),
+    })
+}
+
 /// Whether a status reports a failure of the endpoint rather than an error in the request.
 fn is_endpoint_failure(status: StatusCode) -> bool {
     status.is_server_error()
--- a/crates/jackdawmux_front/src/request/peer_attempt.rs
+++ b/crates/jackdawmux_front/src/request/peer_attempt.rs
@@ -112,7 +112,9 @@
         let is_refused = endpoint.is_none()
             && matches!(
                 response.status(),
-                StatusCode::SERVICE_UNAVAILABLE | StatusCode::UNAUTHORIZED
+                StatusCode::SERVICE_UNAVAILABLE
+                    | StatusCode::UNAUTHORIZED
+                    | StatusCode::TOO_MANY_REQUESTS
             );
         if is_refused && self.delivered > 0 {
             // The peer does not know of the attempts that were made here.
