policy: endpoint sets by expected wait

Cause: an object had one preferred endpoint, and requests left it only at 2.2 times its slots. With three slots and uneven work, requests waited behind long ones while others were idle.

Now the first four endpoints of the object's order form its set, and the least expected time (wait, work factor, extra work if the object may be cold) selects one. The chance of a cold object at each position is learned from responses. Only for services that state a fourth load figure or with contract pressure; others choose as before.

--- a/crates/jackdawmux_front/src/request/guard.rs
+++ b/crates/jackdawmux_front/src/request/guard.rs
@@ -23,8 +23,9 @@
     /// cold object does not reflect the endpoint's health and is not recorded.
     is_warm: bool,
     is_finished: bool,
-    /// Whether the attempt was made at a peer, whose endpoints are its own concern.
-    is_peer: bool,
+    /// The choice that the attempt follows; none if it was made at a peer, whose endpoints are its own
+    /// concern.
+    choice: Option<EndpointChoice>,
 }
 
 impl AttemptGuard {
@@ -43,7 +44,7 @@
             load: None,
             is_warm: choice.is_warm,
             is_finished: false,
-            is_peer: false,
+            choice: Some(choice.clone()),
         }
     }
 
@@ -58,13 +59,13 @@
             load: None,
             is_warm: false,
             is_finished: false,
-            is_peer: true,
+            choice: None,
         }
     }
 
     /// Returns a connection to the pool that it was taken from.
     pub(crate) fn release(&self, connection: PooledConnection) {
-        let pool = if self.is_peer { &self.state.peers } else { &self.state.pool };
+        let pool = if self.choice.is_some() { &self.state.pool } else { &self.state.peers };
         pool.release(connection);
     }
 
@@ -74,11 +75,14 @@
     }
 
     /// Records that a complete response was read, and returns its connection to the pool.
-    pub(crate) fn finish_answered(self, connection: PooledConnection) {
-        let latency = self.state.clock.now().since(self.started);
+    pub(crate) fn finish_answered(mut self, connection: PooledConnection) {
+        let now = self.state.clock.now();
+        let latency = now.since(self.started);
         self.release(connection);
-        let latency = self.is_warm.then_some(latency);
-        self.finish(AttemptOutcome::Answered(latency));
+        self.finish_once(AttemptOutcome::Answered(self.is_warm.then_some(latency)));
+        if let Some(choice) = &self.choice {
+            self.state.steering().record_answer(now, &self.service, choice, latency);
+        }
     }
 
     /// Records that the connection ended or became unresponsive before the response was complete.
@@ -92,7 +96,7 @@
     }
 
     fn finish_once(&mut self, outcome: AttemptOutcome) {
-        if std::mem::replace(&mut self.is_finished, true) || self.is_peer {
+        if std::mem::replace(&mut self.is_finished, true) || self.choice.is_none() {
             return;
         }
         let now = self.state.clock.now();
--- a/crates/jackdawmux_front/src/request/peer_attempt.rs
+++ b/crates/jackdawmux_front/src/request/peer_attempt.rs
@@ -1,5 +1,7 @@
 //! Forwards a request to a peer while this instance reaches no endpoint.
 
+use std::time::Duration;
+
 use axum::http::{Response, StatusCode};
 use hyper::body::Incoming;
 use jackdawmux_policy::fleet::choice::{EndpointChoice, EndpointKey};
@@ -117,6 +119,7 @@
                 rank: 0,
                 is_warm: false,
                 is_limited: false,
+                expected_wait: Duration::ZERO,
             };
             let stated = self.state.dialect.read_response(response.status(), response.headers());
             self.record_notice(&choice, &stated);
--- a/crates/jackdawmux_policy/src/fleet/choice.rs
+++ b/crates/jackdawmux_policy/src/fleet/choice.rs
@@ -127,6 +127,8 @@
     pub is_warm: bool,
     /// Whether the endpoint had stated a limit when it was chosen.
     pub is_limited: bool,
+    /// Wait that was expected at the endpoint; zero if it is not estimated for the service.
+    pub expected_wait: Duration,
 }
 
 /// Why no endpoint was chosen.
--- a/crates/jackdawmux_policy/src/fleet/endpoint_state.rs
+++ b/crates/jackdawmux_policy/src/fleet/endpoint_state.rs
@@ -4,11 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use smallvec::SmallVec;
 use strum::Display;
 
-use super::choice::EndpointKey;
+use super::choice::{EndpointKey, LoadReport};
 use super::cold_start::ColdRateLimiter;
 use super::endpoint_limit::LimitPacer;
+use super::endpoint_set::MAX_SET;
+use super::expected_wait::{AverageLoad, LoadEstimate, WorkFactor};
 use super::notices::{EndpointIncarnation, StatedNotice};
 use super::outlier::{EjectionCause, OutlierState};
 use super::record::{EndpointPhase, EndpointRecord};
@@ -22,7 +25,7 @@
 /// Endpoints that fail some of their requests are ejected only while at most one in this many
 /// eligible endpoints does so.
 const ENDPOINTS_PER_FAILING: usize = 6;
-/// Maximum number of objects whose latest endpoint is kept; a further object clears all of them.
+/// Maximum number of objects whose latest endpoints are kept; a further object clears all of them.
 const MAX_RECENT_OBJECTS: usize = 16_384;
 
 /// Change of an endpoint in the fleet state, as written to the log.
@@ -67,6 +70,8 @@
     pub(super) in_flight: u32,
     pub(super) other_requests: f64,
     pub(super) reported_at: PolicyTime,
+    pub(super) average: AverageLoad,
+    pub(super) work_factor: WorkFactor,
     pub(super) outlier: OutlierState,
     /// Set while the endpoint is unreachable: how long it counts as cold once it responds again.
     pub(super) cold_after_recovery: Option<Duration>,
@@ -91,6 +96,8 @@
             in_flight: 0,
             other_requests: 0.0,
             reported_at: now,
+            average: AverageLoad::default(),
+            work_factor: WorkFactor::default(),
             outlier: OutlierState::default(),
             cold_after_recovery: None,
             before_failures: None,
@@ -166,9 +173,35 @@
     /// Returns the estimated number of requests that the endpoint holds: those of this instance and
     /// those of others according to its latest report.
     pub(super) fn held_requests(&self, now: PolicyTime) -> f64 {
+        f64::from(self.in_flight) + self.other_requests * self.freshness(now)
+    }
+
+    /// Returns the weight of the latest load report: one if it is fresh, close to zero if it is old.
+    fn freshness(&self, now: PolicyTime) -> f64 {
         let age = now.since(self.reported_at).as_secs_f64();
-        let other_requests = self.other_requests * (-age / REPORT_DECAY.as_secs_f64()).exp();
-        f64::from(self.in_flight) + other_requests
+        (-age / REPORT_DECAY.as_secs_f64()).exp()
+    }
+
+    /// Records a load report of a response that is no longer in flight.
+    pub(super) fn record_report(&mut self, now: PolicyTime, report: LoadReport) {
+        let total = f64::from(report.running + report.waiting);
+        self.other_requests = (total - f64::from(self.in_flight)).max(0.0);
+        self.reported_at = now;
+        self.average.record(total);
+        if let Some(percent) = report.work_percent {
+            self.work_factor.record(now, percent);
+        }
+    }
+
+    /// Returns the wait expected at the endpoint as a multiple of the service's usual work time.
+    pub(super) fn expected_wait(&self, now: PolicyTime) -> f64 {
+        let estimate = LoadEstimate {
+            held: self.held_requests(now),
+            average: self.average.held(),
+            freshness: self.freshness(now),
+            slots: self.slots(),
+        };
+        estimate.wait() * self.work_factor.at(now)
     }
 
     pub(super) fn slots(&self) -> f64 {
@@ -206,10 +239,10 @@
     }
 }
 
-/// Endpoint of this instance's latest request for each object.
+/// Latest endpoints that this instance sent requests for each object to, the latest first.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RecentObjects {
-    pub(super) endpoints: HashMap<u64, EndpointKey>,
+    endpoints: HashMap<u64, SmallVec<[EndpointKey; MAX_SET]>>,
 }
 
 impl RecentObjects {
@@ -218,7 +251,19 @@
         if self.endpoints.len() >= MAX_RECENT_OBJECTS && !self.endpoints.contains_key(&object) {
             self.endpoints.clear();
         }
-        self.endpoints.insert(object, endpoint) == Some(endpoint)
+        let endpoints = self.endpoints.entry(object).or_default();
+        if endpoints.first() == Some(&endpoint) {
+            return true;
+        }
+        endpoints.retain(|known| *known != endpoint);
+        endpoints.truncate(MAX_SET - 1);
+        endpoints.insert(0, endpoint);
+        false
+    }
+
+    /// Returns whether one of the latest requests for the object went to an endpoint.
+    pub(super) fn contains(&self, object: u64, endpoint: EndpointKey) -> bool {
+        self.endpoints.get(&object).is_some_and(|endpoints| endpoints.contains(&endpoint))
     }
 }
 
@@ -244,3 +289,14 @@
     latencies.sort_by(f64::total_cmp);
     latencies.get(latencies.len() / 4).copied().unwrap_or(0.0)
 }
+
+/// Returns the mean of the average loads that endpoints reported, as a multiple of their slots; zero
+/// without reports.
+pub(super) fn mean_utilisation(endpoints: &[EndpointState]) -> f64 {
+    let (mut held, mut slots) = (0.0, 0.0);
+    for state in endpoints.iter().filter(|state| state.average.held() > 0.0) {
+        held += state.average.held().min(state.slots());
+        slots += state.slots();
+    }
+    if slots > 0.0 { held / slots } else { 0.0 }
+}
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -5,6 +5,7 @@
 //! preference order only if the preferred one is full, cold, failing or leaving.
 
 mod isolation;
+mod pressure;
 mod registrations;
 mod restore_facts;
 
@@ -22,7 +23,11 @@
 };
 use super::cold_start::{COLD_WINDOW, cold_share};
 use super::crash_record::CrashRecord;
-use super::endpoint_state::{EjectionCounts, EndpointState, RecentObjects, typical_latency};
+use super::endpoint_set::{ColdShares, select_member};
+use super::endpoint_state::{
+    EjectionCounts, EndpointState, RecentObjects, mean_utilisation, typical_latency,
+};
+use super::expected_wait::WorkTime;
 use super::notices::{EndpointIncarnation, NoticeRegister};
 use super::outlier::AttemptOutcome;
 use super::reachability::{Reachability, ReachabilityTracker};
@@ -63,6 +68,12 @@
     endpoints: Vec<EndpointState>,
     retries: RetryShare,
     typical_latency_ms: f64,
+    /// Whether an endpoint has stated in this process how long work takes.
+    states_work: bool,
+    work: WorkTime,
+    cold_shares: ColdShares,
+    /// Mean of the average loads that the endpoints report, as a multiple of their slots.
+    utilisation: f64,
 }
 
 /// An outage of the update source as seen by this instance.
@@ -180,6 +191,7 @@
                 !is_expired
             });
             service.typical_latency_ms = typical_latency(&service.endpoints);
+            service.utilisation = mean_utilisation(&service.endpoints);
         }
         removed
     }
@@ -219,6 +231,9 @@
         }
         let (rank, index) = self.pick(now, query, &candidates)?;
         let instances = self.instances.len();
+        let is_by_wait = self.is_steered_by_wait(query.service);
+        let expected_wait =
+            if is_by_wait { self.expected_wait(now, query.service, index) } else { Duration::ZERO };
         let service = self.services.entry(query.service.to_owned()).or_default();
         if query.is_retry && !service.retries.spend(now, &self.bounds, instances) {
             return Err(refuse(ChoiceRefusalReason::RetryBudget, FULL_RETRY_AFTER));
@@ -227,7 +242,8 @@
             service.retries.count_request(now, self.bounds.retry_window);
         }
         let state = &mut service.endpoints[index];
-        let is_warm = self.recent.record(query.object, state.key);
+        let is_known = self.recent.contains(query.object, state.key);
+        let is_latest = self.recent.record(query.object, state.key);
         state.outlier.start_probe(now);
         state.in_flight += 1;
         let is_limited = state.pacer.is_some();
@@ -240,8 +256,9 @@
             address: state.record.address,
             started_ms: state.record.started_ms,
             rank,
-            is_warm,
+            is_warm: if is_by_wait { is_known } else { is_latest },
             is_limited,
+            expected_wait,
         })
     }
 
@@ -266,9 +283,8 @@
         };
         state.in_flight = state.in_flight.saturating_sub(1);
         if let Some(report) = report {
-            let total = f64::from(report.running + report.waiting);
-            state.other_requests = (total - f64::from(state.in_flight)).max(0.0);
-            state.reported_at = now;
+            service.states_work |= report.work_percent.is_some();
+            state.record_report(now, report);
         }
         let is_response = matches!(outcome, AttemptOutcome::Answered(_) | AttemptOutcome::Shed);
         if is_response || outcome.is_path_failure() {
@@ -452,6 +468,11 @@
         query: &EndpointQuery<'_>,
         candidates: &[usize],
     ) -> Result<(usize, usize), ChoiceRefusal> {
+        let is_high = query.priority() <= LOWEST_HIGH_PRIORITY;
+        let limit = if is_high { MAX_LOAD_HIGH_PRIORITY } else { MAX_LOAD_LOW_PRIORITY };
+        if let Some(member) = self.pick_by_wait(now, query, candidates, limit) {
+            return Ok(member);
+        }
         let mut ranked = candidates.iter().copied().enumerate();
         let own = ranked.find(|(_, index)| self.is_within_cold_rate(now, query.service, *index));
         let Some((rank, index)) = own else {
@@ -461,8 +482,6 @@
         let next = ranked.find(|(_, index)| self.is_warm(now, query.service, *index));
         let next_load =
             next.map_or(f64::INFINITY, |(_, next)| self.load_of(now, query.service, next));
-        let is_high = query.priority() <= LOWEST_HIGH_PRIORITY;
-        let limit = if is_high { MAX_LOAD_HIGH_PRIORITY } else { MAX_LOAD_LOW_PRIORITY };
         let is_next_better = if query.route.is_sticky {
             load >= limit && next_load < MAX_SPILLOVER_LOAD
         } else {
@@ -479,6 +498,21 @@
         }
     }
 
+    /// Picks the endpoint with the least expected time. Returns `None` if there is no estimate, if the
+    /// preferred endpoint is cold, which its cold rate then decides, or if the endpoint is full.
+    fn pick_by_wait(
+        &self,
+        now: PolicyTime,
+        query: &EndpointQuery<'_>,
+        candidates: &[usize],
+        limit: f64,
+    ) -> Option<(usize, usize)> {
+        let set = self.endpoint_set(now, query, candidates)?;
+        set.first().filter(|first| first.rank == 0)?;
+        let member = select_member(&set)?;
+        (member.load < limit).then_some((member.rank, member.index))
+    }
+
     fn is_warm(&self, now: PolicyTime, service: &str, index: usize) -> bool {
         let state = self.services.get(service).and_then(|state| state.endpoints.get(index));
         state.is_some_and(|state| now >= state.cold_until)
--- /dev/null
+++ b/crates/jackdawmux_policy/src/fleet/steering/pressure.rs
@@ -0,0 +1,90 @@
+//! Steers requests by expected wait, for services whose endpoints state how long work takes.
+
+use std::time::Duration;
+
+use super::super::choice::{EndpointChoice, EndpointQuery};
+use super::super::endpoint_set::{EndpointSet, SetMember};
+use super::super::endpoint_state::EndpointState;
+use super::FleetSteering;
+use crate::clock::PolicyTime;
+
+impl FleetSteering {
+    /// Returns whether requests to a service are steered by expected wait.
+    #[must_use]
+    pub fn is_steered_by_wait(&self, service: &str) -> bool {
+        let service = self.services.get(service);
+        service.is_some_and(|service| self.bounds.has_pressure || service.states_work)
+    }
+
+    /// Returns the wait expected before the work of a new request begins at an endpoint, by its index
+    /// in the service; zero if there is no estimate.
+    #[must_use]
+    pub fn expected_wait(&self, now: PolicyTime, service: &str, index: usize) -> Duration {
+        let usual = self.usual_work(service).unwrap_or_default();
+        let state = self.services.get(service).and_then(|service| service.endpoints.get(index));
+        usual.mul_f64(state.map_or(0.0, |state| state.expected_wait(now)))
+    }
+
+    /// Returns the usual work time of a service for a warm object; `None` if there is no estimate.
+    #[must_use]
+    pub fn usual_work(&self, service: &str) -> Option<Duration> {
+        let usual_ms = self.services.get(service)?.work.usual_ms()?;
+        Some(Duration::from_secs_f64(usual_ms / 1e3))
+    }
+
+    /// Records how long a complete response took, after [`FleetSteering::finish`].
+    pub fn record_answer(
+        &mut self,
+        now: PolicyTime,
+        service: &str,
+        choice: &EndpointChoice,
+        latency: Duration,
+    ) {
+        let Some(service) = self.services.get_mut(service) else {
+            return;
+        };
+        let Some(state) = service.endpoints.iter().find(|state| state.key == choice.key) else {
+            return;
+        };
+        let work = latency.saturating_sub(choice.expected_wait);
+        let work_ms = work.as_secs_f64() * 1e3 / state.work_factor.at(now);
+        if let Some(usual_ms) = service.work.usual_ms() {
+            service.cold_shares.record(choice.rank, choice.is_warm, work_ms / usual_ms);
+        }
+        if choice.is_warm {
+            service.work.record(work_ms);
+        }
+    }
+
+    /// Returns the endpoints that a request may be sent to with their expected times; `None` if the
+    /// service is not steered by wait or the work time is not known yet. Cold endpoints are left out.
+    pub(super) fn endpoint_set(
+        &self,
+        now: PolicyTime,
+        query: &EndpointQuery<'_>,
+        candidates: &[usize],
+    ) -> Option<EndpointSet> {
+        let service = self.services.get(query.service)?;
+        service.work.usual_ms().filter(|_| self.is_steered_by_wait(query.service))?;
+        let member = |rank: usize, index: usize, state: &EndpointState| {
+            let wait = state.expected_wait(now);
+            let is_known = self.recent.contains(query.object, state.key);
+            // Requests of a route that is not sticky have no object that could be warm.
+            let shares = &service.cold_shares;
+            let work = if query.route.is_sticky {
+                shares.expected_cost(rank, is_known, service.utilisation)
+            } else {
+                1.0
+            };
+            let time = work.mul_add(state.work_factor.at(now), wait);
+            let load = state.held_requests(now) / state.slots();
+            SetMember { rank, index, wait, time, load, is_connected: false }
+        };
+        let states = candidates
+            .iter()
+            .enumerate()
+            .filter_map(|(rank, index)| Some((rank, *index, service.endpoints.get(*index)?)));
+        let warm = states.filter(|(_, _, state)| now >= state.cold_until);
+        Some(warm.map(|(rank, index, state)| member(rank, index, state)).collect())
+    }
+}
--- a/crates/jackdawmux_policy/tests/support/warm_fleet.rs
+++ b/crates/jackdawmux_policy/tests/support/warm_fleet.rs
@@ -2,14 +2,16 @@
 //! object that it handled recently, sheds requests if its queue is full, and reports its load with
 //! each response.
 
+#![allow(dead_code, reason = "each test file uses only some of these items")]
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::time::Duration;
 
 use jackdawmux_policy::clock::PolicyTime;
-use jackdawmux_policy::fleet::choice::{EndpointKey, EndpointQuery, LoadReport};
+use jackdawmux_policy::fleet::choice::{EndpointChoice, EndpointKey, EndpointQuery, LoadReport};
 use jackdawmux_policy::fleet::outlier::AttemptOutcome;
-use jackdawmux_policy::fleet::record::RouteRecord;
+use jackdawmux_policy::fleet::record::{EndpointRecord, RouteRecord};
 use jackdawmux_policy::fleet::steering::FleetSteering;
 use jackdawmux_policy::identity::stable_hash;
 use rand::rngs::StdRng;
@@ -30,6 +32,14 @@
     pub work: Duration,
     /// Share of the work that a warm object takes.
     pub warm_share: f64,
+    /// Latency up to which a response is on time.
+    pub target: Duration,
+    /// Share of the requests whose work takes seven times as long.
+    pub long_share: f64,
+    /// Share of the time that a machine works 2.5 times slower, for 600 ms each time.
+    pub slow_share: f64,
+    /// Whether endpoints state how long work takes.
+    pub states_work: bool,
 }
 
 impl FleetShape {
@@ -46,6 +56,30 @@
             per_second: 1_050.0,
             work: Duration::from_millis(262),
             warm_share: 0.3,
+            target: Duration::from_millis(200),
+            long_share: 0.0,
+            slow_share: 0.0,
+            states_work: false,
+        }
+    }
+
+    /// The larger service of a deployment with few slots, uneven work and uneven machines. It can hold
+    /// twelve copies of each object.
+    pub const fn few_slots() -> Self {
+        Self {
+            fronts: 24,
+            endpoints: 156,
+            slots: 3,
+            queue: 12,
+            objects: 169,
+            object_capacity: 13,
+            per_second: 657.0,
+            work: Duration::from_millis(750),
+            warm_share: 0.3,
+            target: Duration::from_millis(600),
+            long_share: 0.03,
+            slow_share: 0.15,
+            states_work: true,
         }
     }
 }
@@ -64,6 +98,9 @@
     running: usize,
     waiting: VecDeque<Job>,
     warm_objects: VecDeque<u64>,
+    is_slow: bool,
+    /// Requests that were sent here.
+    sent: u32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -73,11 +110,19 @@
     requested_at: u64,
     sent_at: u64,
     is_warm: bool,
+    /// Index of the choice that sent it.
+    choice: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrival,
+    /// The machine of an endpoint becomes slower or returns to its usual speed.
+    Phase {
+        endpoint: usize,
+    },
+    /// Maintenance of all fronts.
+    Tick,
     /// A refused caller retries once.
     Retry {
         object: u64,
@@ -97,6 +142,7 @@
     keys: HashMap<EndpointKey, usize>,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     order: u64,
+    choices: Vec<EndpointChoice>,
     rng: StdRng,
     route: RouteRecord,
     pub seconds: Vec<SecondCount>,
@@ -110,7 +156,7 @@
         let fronts = names
             .iter()
             .zip(["a", "b"].iter().cycle())
-            .map(|(name, domain)| steering(name, domain, &names, shape.endpoints))
+            .map(|(name, domain)| front(name, domain, &names, shape))
             .collect();
         let keys = (0..shape.endpoints)
             .map(|index| (EndpointKey::of(&endpoint(index).id), usize::from(index)))
@@ -122,12 +168,18 @@
             keys,
             events: BinaryHeap::new(),
             order: 0,
+            choices: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
             route: route(),
             seconds: Vec::new(),
             surge: 1.0,
         };
         fleet.push(0, Event::Arrival);
+        if shape.slow_share > 0.0 {
+            fleet.push(0, Event::Tick);
+            (0..fleet.endpoints.len())
+                .for_each(|endpoint| fleet.push(0, Event::Phase { endpoint }));
+        }
         fleet
     }
 
@@ -150,6 +202,13 @@
             };
             match event {
                 Event::Arrival => self.arrive(at),
+                Event::Tick => {
+                    for front in &mut self.fronts {
+                        front.tick(PolicyTime(at));
+                    }
+                    self.push(at + 500_000, Event::Tick);
+                }
+                Event::Phase { endpoint } => self.change_phase(at, endpoint),
                 Event::Retry { object, requested_at } => self.send(at, object, requested_at),
                 Event::Done { endpoint, job } => self.complete(at, endpoint, job),
             }
@@ -164,6 +223,13 @@
         f64::from(on_time) / f64::from(requested.max(1))
     }
 
+    /// Returns the requests sent to the busiest endpoint as a multiple of the mean.
+    pub fn busiest(&self) -> f64 {
+        let sent = self.endpoints.iter().map(|model| model.sent);
+        let (most, total) = (sent.clone().max().unwrap_or(0), sent.sum::<u32>());
+        f64::from(most) * f64::from(self.shape.endpoints) / f64::from(total.max(1))
+    }
+
     fn push(&mut self, at: u64, event: Event) {
         self.order += 1;
         self.events.push(Reverse((at, self.order, event)));
@@ -207,8 +273,12 @@
             return;
         };
         let index = self.keys[&choice.key];
-        let job = Job { object, front, requested_at, sent_at: at, is_warm: choice.is_warm };
+        let is_warm = choice.is_warm;
+        let job =
+            Job { object, front, requested_at, sent_at: at, is_warm, choice: self.choices.len() };
+        self.choices.push(choice.clone());
         let model = &mut self.endpoints[index];
+        model.sent += 1;
         if model.running < self.shape.slots {
             self.start(at, index, job);
         } else if model.waiting.len() < self.shape.queue {
@@ -237,11 +307,24 @@
         let is_warm = model.warm_objects.contains(&job.object);
         let share = if is_warm { shape.warm_share } else { 1.0 };
         let spread = self.rng.random_range(0.85..1.15);
-        let work = shape.work.mul_f64(share * spread);
+        let is_long = shape.long_share > 0.0 && self.rng.random_bool(shape.long_share);
+        let length = if is_long { 7.0 } else { 1.0 };
+        let factor = if self.endpoints[index].is_slow { 2.5 } else { 1.0 };
+        let work = shape.work.mul_f64(share * spread * length * factor);
         let end = at + u64::try_from(work.as_micros()).expect("the time fits");
         self.push(end, Event::Done { endpoint: index, job });
     }
 
+    fn change_phase(&mut self, at: u64, endpoint: usize) {
+        let model = &mut self.endpoints[endpoint];
+        model.is_slow = !model.is_slow && at > 0;
+        let usual = 600_000.0 * (1.0 / self.shape.slow_share - 1.0);
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a short span")]
+        let span =
+            if model.is_slow { 600_000 } else { (self.rng.random_range(0.0..2.0) * usual) as u64 };
+        self.push(at + span, Event::Phase { endpoint });
+    }
+
     fn complete(&mut self, at: u64, index: usize, job: Job) {
         let object_capacity = self.shape.object_capacity;
         let model = &mut self.endpoints[index];
@@ -260,10 +343,14 @@
         let outcome =
             AttemptOutcome::Answered(job.is_warm.then(|| Duration::from_micros(at - job.sent_at)));
         self.fronts[job.front].finish(PolicyTime(at), SERVICE, key, outcome, Some(report));
+        let sent_for = Duration::from_micros(at - job.sent_at);
+        let choice = &self.choices[job.choice];
+        self.fronts[job.front].record_answer(PolicyTime(at), SERVICE, choice, sent_for);
+        let target = u64::try_from(self.shape.target.as_micros()).expect("the time fits");
         let latency = at - job.requested_at;
         let count = self.count(job.requested_at);
         count.served += u32::from(latency <= 1_200_000);
-        count.on_time += u32::from(latency <= 200_000);
+        count.on_time += u32::from(latency <= target);
     }
 
     fn report(&self, index: usize) -> LoadReport {
@@ -272,7 +359,18 @@
             running: u32::try_from(model.running).expect("the count fits"),
             waiting: u32::try_from(model.waiting.len()).expect("the count fits"),
             slots: u32::try_from(self.shape.slots).expect("the count fits"),
-            work_percent: None,
+            work_percent: self.shape.states_work.then_some(if model.is_slow { 250 } else { 100 }),
         }
     }
 }
+
+/// The steering of a front that knows all endpoints with their slots.
+fn front(name: &str, domain: &str, names: &[String], shape: FleetShape) -> FleetSteering {
+    let mut steering = steering(name, domain, names, shape.endpoints);
+    let slots = u32::try_from(shape.slots).expect("the count fits");
+    for index in 0..shape.endpoints {
+        let record = EndpointRecord { slots, ..endpoint(index) };
+        steering.apply_endpoint(PolicyTime::from_millis(1), record);
+    }
+    steering
+}
