policy, front: region shares by demand, stated in heartbeats

Cause: shares assume even demand. A region with more than its part is over its capacity while others are idle, and each region peaks at a different time.

Instances state their own demand and their region's sum in heartbeat element 8, only for services that are steered by expected wait. Earlier releases decode the first seven elements as before. Statements that do not fit into 512 bytes are left out. Existing test literals of Heartbeat get the new field.

Ruled out: shares that follow the present demand. Shares therefore follow the recent peak of each region (time constant 60 s).

--- a/crates/jackdawmux_front/src/process/heartbeat.rs
+++ b/crates/jackdawmux_front/src/process/heartbeat.rs
@@ -9,8 +9,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ciborium::Value;
 use jackdawmux_policy::fleet::crash_record::SharedCrashes;
 use jackdawmux_policy::fleet::freshness::NewestChanges;
+use jackdawmux_policy::fleet::region_demand::DemandStatements;
 use kameo::actor::ActorRef;
 use serde::de::{Error as _, SeqAccess, Visitor};
 use serde::ser::SerializeTuple;
@@ -26,8 +28,8 @@
 /// Largest heartbeat and size of the receive buffer, in bytes; fits a name of 255 bytes and the
 /// crashes.
 const MAX_HEARTBEAT_BYTES: usize = 512;
-/// Elements of an encoded heartbeat.
-const HEARTBEAT_ELEMENTS: usize = 7;
+/// Elements of an encoded heartbeat; the last one is left out if it is empty.
+const HEARTBEAT_ELEMENTS: usize = 8;
 
 /// State that an instance sends to the others at regular intervals.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -49,11 +51,14 @@
     pub config_version: u64,
     /// Whether it reaches no endpoint; false from a sender that does not state it.
     pub is_isolated: bool,
+    /// Demand for each service that is steered under load; empty from a sender that does not state it.
+    pub demands: DemandStatements,
 }
 
 impl Serialize for Heartbeat {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        let mut tuple = serializer.serialize_tuple(HEARTBEAT_ELEMENTS)?;
+        let omitted = usize::from(self.demands.is_empty());
+        let mut tuple = serializer.serialize_tuple(HEARTBEAT_ELEMENTS - omitted)?;
         tuple.serialize_element(&self.instance)?;
         tuple.serialize_element(&self.is_serving)?;
         tuple.serialize_element(&self.source_connected_ms)?;
@@ -62,6 +67,9 @@
             .serialize_element(&self.newest_changes.map(|change| (change.era, change.revision)))?;
         tuple.serialize_element(&self.config_version)?;
         tuple.serialize_element(&self.is_isolated)?;
+        if omitted == 0 {
+            tuple.serialize_element(&self.demands)?;
+        }
         tuple.end()
     }
 }
@@ -78,7 +86,7 @@
     type Value = Heartbeat;
 
     fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("a heartbeat of four to seven elements")
+        formatter.write_str("a heartbeat of four to eight elements")
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut elements: A) -> Result<Heartbeat, A::Error> {
@@ -87,12 +95,15 @@
         let is_serving = elements.next_element()?.ok_or_else(|| missing(1))?;
         let source_connected_ms = elements.next_element()?.ok_or_else(|| missing(2))?;
         let crashes = elements.next_element()?.ok_or_else(|| missing(3))?;
-        // Instances of earlier releases send four to six elements.
+        // Instances of earlier releases send four to seven elements.
         let positions: [(u64, u64); WatchTopic::COUNT] =
             elements.next_element()?.unwrap_or_default();
         let newest_changes = positions.map(|(era, revision)| SourcePosition { era, revision });
         let config_version = elements.next_element()?.unwrap_or_default();
         let is_isolated = elements.next_element()?.unwrap_or_default();
+        // A later release may state something else here.
+        let demands: Option<Value> = elements.next_element()?;
+        let demands = demands.and_then(|value| value.deserialized().ok()).unwrap_or_default();
         Ok(Heartbeat {
             instance,
             is_serving,
@@ -101,15 +112,26 @@
             newest_changes,
             config_version,
             is_isolated,
+            demands,
         })
     }
 }
 
-/// Encodes a heartbeat.
+/// Encodes a heartbeat. Statements of demand that do not fit beside a long name are left out, because
+/// receivers cut off longer datagrams.
 ///
 /// # Errors
 /// When it cannot be represented in CBOR.
 pub fn encode_heartbeat(heartbeat: &Heartbeat) -> io::Result<Vec<u8>> {
+    let mut bytes = encode_all(heartbeat)?;
+    let mut shorter = heartbeat.clone();
+    while bytes.len() > MAX_HEARTBEAT_BYTES && shorter.demands.pop().is_some() {
+        bytes = encode_all(&shorter)?;
+    }
+    Ok(bytes)
+}
+
+fn encode_all(heartbeat: &Heartbeat) -> io::Result<Vec<u8>> {
     let mut bytes = Vec::with_capacity(64);
     ciborium::into_writer(heartbeat, &mut bytes).map_err(io::Error::other)?;
     Ok(bytes)
@@ -127,9 +149,11 @@
 pub(crate) async fn send_heartbeats(state: &FrontState, socket: &UdpSocket) {
     let connected = state.connectivity.connected_for();
     let config_version = state.config_version();
-    let (crashes, is_isolated) = {
+    let (crashes, is_isolated, demands) = {
+        let now = state.clock.now();
         let steering = state.steering();
-        (steering.crashes().shared(state.clock.now()), steering.reachability().is_isolated())
+        let is_isolated = steering.reachability().is_isolated();
+        (steering.crashes().shared(now), is_isolated, steering.demand_statements(now))
     };
     let heartbeat = Heartbeat {
         instance: state.settings.instance.clone(),
@@ -140,6 +164,7 @@
         newest_changes: state.freshness().applied(),
         config_version,
         is_isolated,
+        demands,
     };
     let bytes = match encode_heartbeat(&heartbeat) {
         Ok(bytes) => bytes,
--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -133,7 +133,11 @@
         );
         self.state.directory().set_isolated(&heartbeat.instance, heartbeat.is_isolated);
         let connected = Duration::from_millis(heartbeat.source_connected_ms);
+        let domain = self.state.directory().domain(&heartbeat.instance).map(str::to_owned);
         let mut steering = self.state.steering();
+        if let Some(domain) = domain {
+            steering.record_demands(now, &heartbeat.instance, &domain, &heartbeat.demands);
+        }
         steering.record_peer_source_connection(now, connected);
         steering.crashes_mut().apply_peer_crashes(now, &heartbeat.instance, &heartbeat.crashes);
         let own = steering.table().map_or(0, |table| table.version());
@@ -343,9 +347,12 @@
     /// Divides shares among the instances that are currently registered, and enters the serving
     /// phase once a configuration and at least one endpoint are known.
     pub(super) fn refresh_phase(&self) {
-        let names = self.state.directory().names();
+        let directory = self.state.directory();
+        let (names, domains) = (directory.names(), directory.domains());
+        drop(directory);
         let mut steering = self.state.steering();
         steering.set_instances(names);
+        steering.set_instance_domains(domains.iter().map(String::as_str));
         let is_ready = steering.table().is_some() && steering.endpoint_count() > 0;
         drop(steering);
         if is_ready {
--- a/crates/jackdawmux_front/tests/heartbeats.rs
+++ b/crates/jackdawmux_front/tests/heartbeats.rs
@@ -2,6 +2,7 @@
 
 use jackdawmux_front::SourcePosition;
 use jackdawmux_front::process::{Heartbeat, decode_heartbeat, encode_heartbeat};
+use jackdawmux_policy::fleet::region_demand::DemandStatement;
 use proptest::prelude::*;
 
 proptest! {
@@ -20,10 +21,12 @@
         positions in any::<[(u64, u64); 4]>(),
         config_version in any::<u64>(),
         is_isolated in any::<bool>(),
+        demands in prop::collection::vec(any::<(u32, u32, u32)>(), 0..=6),
     ) {
         let newest_changes = positions.map(|(era, revision)| SourcePosition { era, revision });
         let crashes = crashes.into_iter().collect();
-        let heartbeat = Heartbeat { instance, is_serving, source_connected_ms, crashes, newest_changes, config_version, is_isolated };
+        let demands = demands.into_iter().map(DemandStatement::from).collect();
+        let heartbeat = Heartbeat { instance, is_serving, source_connected_ms, crashes, newest_changes, config_version, is_isolated, demands };
         let bytes = encode_heartbeat(&heartbeat).expect("the heartbeat is encoded");
         prop_assert!(bytes.len() <= 512, "{} bytes", bytes.len());
         prop_assert_eq!(decode_heartbeat(&bytes).expect("the heartbeat is decoded"), heartbeat);
@@ -52,9 +55,54 @@
             prop_assert_eq!(heartbeat.newest_changes[0].revision, expected);
             prop_assert_eq!(heartbeat.config_version, 0);
             prop_assert!(!heartbeat.is_isolated);
+            prop_assert!(heartbeat.demands.is_empty());
         }
     }
 
+    /// Guards against datagrams that receivers cut off: with the longest name and all crashes, only some
+    /// statements of demand fit.
+    #[test]
+    fn statements_that_do_not_fit_are_left_out(demands in prop::collection::vec(any::<(u32, u32, u32)>(), 6)) {
+        let heartbeat = Heartbeat {
+            instance: "n".repeat(255),
+            is_serving: true,
+            source_connected_ms: u64::MAX,
+            crashes: std::iter::repeat_n((u64::MAX, u32::MAX), 8).collect(),
+            newest_changes: [SourcePosition { era: u64::MAX, revision: u64::MAX }; 4],
+            config_version: u64::MAX,
+            is_isolated: true,
+            demands: demands.into_iter().map(DemandStatement::from).collect(),
+        };
+        let bytes = encode_heartbeat(&heartbeat).expect("the heartbeat is encoded");
+        prop_assert!(bytes.len() <= 512, "{} bytes", bytes.len());
+        let decoded = decode_heartbeat(&bytes).expect("the heartbeat is decoded");
+        prop_assert_eq!(&decoded.demands[..], &heartbeat.demands[..decoded.demands.len()]);
+        prop_assert!(!decoded.demands.is_empty());
+        prop_assert!(decoded.is_isolated);
+    }
+
+    /// Guards against an upgrade that earlier releases cannot read, and against one that changes the
+    /// heartbeats of deployments that state no demand.
+    #[test]
+    fn earlier_releases_decode_heartbeats_with_demand(demands in prop::collection::vec(any::<(u32, u32, u32)>(), 0..=6)) {
+        type Earlier = (String, bool, u64, Vec<(u64, u32)>, [(u64, u64); 4], u64, bool);
+        let count = demands.len();
+        let heartbeat = Heartbeat {
+            instance: "front-a-1".to_owned(),
+            is_serving: true,
+            source_connected_ms: 7,
+            crashes: Default::default(),
+            newest_changes: Default::default(),
+            config_version: 4,
+            is_isolated: true,
+            demands: demands.into_iter().map(DemandStatement::from).collect(),
+        };
+        let bytes = encode_heartbeat(&heartbeat).expect("the heartbeat is encoded");
+        let earlier: Earlier = ciborium::from_reader(&bytes[..]).expect("an earlier release decodes it");
+        prop_assert_eq!((earlier.0, earlier.5, earlier.6), (heartbeat.instance, 4, true));
+        prop_assert_eq!(bytes[0], if count == 0 { 0x87 } else { 0x88 });
+    }
+
     #[test]
     fn arbitrary_bytes_decode_to_an_error_or_a_heartbeat(bytes in prop::collection::vec(any::<u8>(), 0..512)) {
         if let Ok(heartbeat) = decode_heartbeat(&bytes) {
@@ -72,6 +120,7 @@
             newest_changes: Default::default(),
             config_version: 4,
             is_isolated: false,
+            demands: Default::default(),
         };
         let bytes = encode_heartbeat(&heartbeat).expect("the heartbeat is encoded");
         prop_assert!(decode_heartbeat(&bytes[..bytes.len() - cut.min(bytes.len())]).is_err());
--- a/crates/jackdawmux_policy/src/fleet/directory.rs
+++ b/crates/jackdawmux_policy/src/fleet/directory.rs
@@ -199,6 +199,18 @@
         names
     }
 
+    /// Returns the failure domain of a registered instance.
+    #[must_use]
+    pub fn domain(&self, name: &str) -> Option<&str> {
+        self.registered.get(name).map(|record| record.domain.as_str())
+    }
+
+    /// Returns the failure domains of all registered instances, one entry for each.
+    #[must_use]
+    pub fn domains(&self) -> Vec<String> {
+        self.registered.values().map(|record| record.domain.clone()).collect()
+    }
+
     /// Returns the address at which a registered instance receives heartbeats and reads.
     #[must_use]
     pub fn heartbeat_address(&self, name: &str) -> Option<SocketAddr> {
--- a/crates/jackdawmux_policy/src/fleet/mod.rs
+++ b/crates/jackdawmux_policy/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 pub mod position;
 pub mod reachability;
 pub mod record;
+pub mod region_demand;
 pub mod region_share;
 pub mod relay;
 pub mod restore;
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -4,6 +4,7 @@
 //! recently needs only a fraction of the time. A request goes to the next endpoint in the object's
 //! preference order only if the preferred one is full, cold, failing or leaving.
 
+mod demand;
 mod isolation;
 mod pressure;
 mod registrations;
@@ -32,7 +33,8 @@
 use super::outlier::AttemptOutcome;
 use super::reachability::{Reachability, ReachabilityTracker};
 use super::record::{ConfigRecord, FleetBounds, RouteRecord, ServiceRecord};
-use super::region_share::{RegionShares, region_shares};
+use super::region_demand::ServiceDemand;
+use super::region_share::{RegionShares, ShareShift, region_shares};
 use super::restore::RestoreTracker;
 use super::retry_share::RetryShare;
 use super::routing::RouteTable;
@@ -72,6 +74,8 @@
     states_work: bool,
     work: WorkTime,
     cold_shares: ColdShares,
+    demand: ServiceDemand,
+    shift: ShareShift,
     /// Mean of the average loads that the endpoints report, as a multiple of their slots.
     utilisation: f64,
 }
@@ -99,6 +103,8 @@
     services: HashMap<String, ServiceState>,
     evacuated: HashSet<String>,
     instances: Vec<String>,
+    /// Number of registered instances by region.
+    region_members: Vec<usize>,
     splits: SplitTable,
     outage: Option<SourceOutage>,
     restore: RestoreTracker,
@@ -128,6 +134,7 @@
         Self {
             own: own.to_owned(),
             own_region: own_region.unwrap_or(region_names.len()),
+            region_members: vec![0; region_names.len()],
             region_names,
             regions,
             bounds,
@@ -193,6 +200,7 @@
             service.typical_latency_ms = typical_latency(&service.endpoints);
             service.utilisation = mean_utilisation(&service.endpoints);
         }
+        self.update_demand(now);
         removed
     }
 
@@ -385,7 +393,7 @@
             }
             capacity[state.region] += state.slots();
         }
-        let shares = self.shares(&capacity);
+        let shares = self.shares(query.service, &capacity);
         let mut best: SmallVec<[(f64, usize); MAX_CANDIDATES]> = SmallVec::new();
         for (index, state) in service.endpoints.iter().enumerate() {
             let is_allowed =
@@ -448,9 +456,13 @@
 
     /// Returns the shares of this instance's demand by region. The extra entry for unknown failure
     /// domains has a share only if no region has any capacity.
-    fn shares(&self, capacity: &[f64]) -> RegionShares {
+    fn shares(&self, service: &str, capacity: &[f64]) -> RegionShares {
         let known = &capacity[..self.region_names.len()];
         let mut shares = region_shares(self.own_region, known);
+        let service_state = self.services.get(service);
+        if let Some(state) = service_state.filter(|_| self.is_steered_by_wait(service)) {
+            shares = state.shift.apply(&shares, known);
+        }
         let has_known_region = known.iter().any(|slots| *slots > 0.0);
         shares.push(if has_known_region { 0.0 } else { 1.0 });
         shares
