--- a/crates/jackdawmux_front/src/process/heartbeat.rs
+++ b/crates/jackdawmux_front/src/process/heartbeat.rs
@@ -12,6 +12,7 @@
 use ciborium::Value;
 use jackdawmux_policy::fleet::crash_record::SharedCrashes;
 use jackdawmux_policy::fleet::freshness::NewestChanges;
+use jackdawmux_policy::fleet::region_demand::DemandStatements;
 use kameo::actor::ActorRef;
 use serde::de::{Error as _, SeqAccess, Visitor};
 use serde::ser::SerializeTuple;
@@ -27,8 +28,9 @@
 /// Largest heartbeat and size of the receive buffer, in bytes; fits a name of 255 bytes and the
 /// crashes.
 const MAX_HEARTBEAT_BYTES: usize = 512;
-/// Elements of an encoded heartbeat.
-const HEARTBEAT_ELEMENTS: usize = 8;
+/// Elements of an encoded heartbeat. The last two are left out by a sender that states nothing in
+/// them, so that heartbeats of deployments without load pressure stay as they were.
+const HEARTBEAT_ELEMENTS: usize = 9;
 
 /// State that an instance sends to the others at regular intervals.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -53,11 +55,18 @@
     /// Requests per second that the sender receives from callers; zero from a sender that does not
     /// state them.
     pub request_rate: u32,
+    /// Demand for each service that is steered under load; empty from a sender that does not state it.
+    pub demands: DemandStatements,
 }
 
 impl Serialize for Heartbeat {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        let mut tuple = serializer.serialize_tuple(HEARTBEAT_ELEMENTS)?;
+        let omitted = match (self.request_rate, self.demands.is_empty()) {
+            (0, true) => 2,
+            (_, true) => 1,
+            (_, false) => 0,
+        };
+        let mut tuple = serializer.serialize_tuple(HEARTBEAT_ELEMENTS - omitted)?;
         tuple.serialize_element(&self.instance)?;
         tuple.serialize_element(&self.is_serving)?;
         tuple.serialize_element(&self.source_connected_ms)?;
@@ -66,7 +75,12 @@
             .serialize_element(&self.newest_changes.map(|change| (change.era, change.revision)))?;
         tuple.serialize_element(&self.config_version)?;
         tuple.serialize_element(&self.is_isolated)?;
-        tuple.serialize_element(&self.request_rate)?;
+        if omitted < 2 {
+            tuple.serialize_element(&self.request_rate)?;
+        }
+        if omitted == 0 {
+            tuple.serialize_element(&self.demands)?;
+        }
         tuple.end()
     }
 }
@@ -83,7 +97,7 @@
     type Value = Heartbeat;
 
     fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("a heartbeat of four to eight elements")
+        formatter.write_str("a heartbeat of four to nine elements")
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut elements: A) -> Result<Heartbeat, A::Error> {
@@ -92,13 +106,16 @@
         let is_serving = elements.next_element()?.ok_or_else(|| missing(1))?;
         let source_connected_ms = elements.next_element()?.ok_or_else(|| missing(2))?;
         let crashes = elements.next_element()?.ok_or_else(|| missing(3))?;
-        // Instances of earlier releases send four to seven elements.
+        // Instances of earlier releases send four to eight elements.
         let positions: [(u64, u64); WatchTopic::COUNT] =
             elements.next_element()?.unwrap_or_default();
         let newest_changes = positions.map(|(era, revision)| SourcePosition { era, revision });
         let config_version = elements.next_element()?.unwrap_or_default();
         let is_isolated = elements.next_element()?.unwrap_or_default();
         let request_rate = elements.next_element()?.map(read_rate).unwrap_or_default();
+        // A later release may state something else here.
+        let demands: Option<Value> = elements.next_element()?;
+        let demands = demands.and_then(|value| value.deserialized().ok()).unwrap_or_default();
         Ok(Heartbeat {
             instance,
             is_serving,
@@ -108,6 +125,7 @@
             config_version,
             is_isolated,
             request_rate,
+            demands,
         })
     }
 }
@@ -118,11 +136,21 @@
     element.as_integer().and_then(|rate| u32::try_from(rate).ok()).unwrap_or_default()
 }
 
-/// Encodes a heartbeat.
+/// Encodes a heartbeat. Statements of demand that do not fit beside a long name are left out, because
+/// receivers cut off longer datagrams.
 ///
 /// # Errors
 /// When it cannot be represented in CBOR.
 pub fn encode_heartbeat(heartbeat: &Heartbeat) -> io::Result<Vec<u8>> {
+    let mut bytes = encode_all(heartbeat)?;
+    let mut shorter = heartbeat.clone();
+    while bytes.len() > MAX_HEARTBEAT_BYTES && shorter.demands.pop().is_some() {
+        bytes = encode_all(&shorter)?;
+    }
+    Ok(bytes)
+}
+
+fn encode_all(heartbeat: &Heartbeat) -> io::Result<Vec<u8>> {
     let mut bytes = Vec::with_capacity(64);
     ciborium::into_writer(heartbeat, &mut bytes).map_err(io::Error::other)?;
     Ok(bytes)
@@ -140,9 +168,12 @@
 pub(crate) async fn send_heartbeats(state: &FrontState, socket: &UdpSocket) {
     let connected = state.connectivity.connected_for();
     let config_version = state.config_version();
-    let (crashes, is_isolated) = {
+    let (crashes, is_isolated, is_load_aware, demands) = {
+        let now = state.clock.now();
         let steering = state.steering();
-        (steering.crashes().shared(state.clock.now()), steering.reachability().is_isolated())
+        let is_isolated = steering.reachability().is_isolated();
+        let demands = steering.demand_statements(now);
+        (steering.crashes().shared(now), is_isolated, steering.is_load_aware(), demands)
     };
     let heartbeat = Heartbeat {
         instance: state.settings.instance.clone(),
@@ -153,7 +184,8 @@
         newest_changes: state.freshness().applied(),
         config_version,
         is_isolated,
-        request_rate: state.request_rate(),
+        request_rate: if is_load_aware { state.request_rate() } else { 0 },
+        demands,
     };
     let bytes = match encode_heartbeat(&heartbeat) {
         Ok(bytes) => bytes,
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -4,7 +4,9 @@
 //! recently needs only a fraction of the time. A request goes to the next endpoint in the object's
 //! preference order only if the preferred one is full, cold, failing or leaving.
 
+mod demand;
 mod isolation;
+mod pressure;
 mod registrations;
 mod restore_facts;
 
@@ -22,12 +24,17 @@
 };
 use super::cold_start::{COLD_WINDOW, cold_share};
 use super::crash_record::CrashRecord;
-use super::endpoint_state::{EjectionCounts, EndpointState, RecentObjects, typical_latency};
+use super::endpoint_set::{ColdShares, select_member};
+use super::endpoint_state::{
+    EjectionCounts, EndpointState, RecentObjects, mean_utilisation, typical_latency,
+};
+use super::expected_wait::WorkTime;
 use super::notices::{EndpointIncarnation, NoticeRegister};
 use super::outlier::AttemptOutcome;
 use super::reachability::{Reachability, ReachabilityTracker};
 use super::record::{ConfigRecord, FleetBounds, RouteRecord, ServiceRecord};
-use super::region_share::{RegionShares, region_shares};
+use super::region_demand::ServiceDemand;
+use super::region_share::{RegionShares, ShareShift, region_shares};
 use super::restore::RestoreTracker;
 use super::retry_share::RetryShare;
 use super::routing::RouteTable;
@@ -63,6 +70,14 @@
     endpoints: Vec<EndpointState>,
     retries: RetryShare,
     typical_latency_ms: f64,
+    /// Whether an endpoint has stated in this process how long work takes.
+    states_work: bool,
+    work: WorkTime,
+    cold_shares: ColdShares,
+    demand: ServiceDemand,
+    shift: ShareShift,
+    /// Mean of the average loads that the endpoints report, as a multiple of their slots.
+    utilisation: f64,
 }
 
 /// An outage of the update source as seen by this instance.
@@ -88,6 +103,8 @@
     services: HashMap<String, ServiceState>,
     evacuated: HashSet<String>,
     instances: Vec<String>,
+    /// Number of registered instances by region.
+    region_members: Vec<usize>,
     splits: SplitTable,
     outage: Option<SourceOutage>,
     restore: RestoreTracker,
@@ -119,6 +136,7 @@
         Self {
             own: own.to_owned(),
             own_region: own_region.unwrap_or(region_names.len()),
+            region_members: vec![0; region_names.len()],
             region_names,
             regions,
             bounds,
@@ -195,7 +213,9 @@
                 !is_expired
             });
             service.typical_latency_ms = typical_latency(&service.endpoints);
+            service.utilisation = mean_utilisation(&service.endpoints);
         }
+        self.update_demand(now);
         removed
     }
 
@@ -241,6 +261,9 @@
         }
         let (rank, index) = self.pick(now, query, &candidates)?;
         let instances = self.instances.len();
+        let is_by_wait = self.is_steered_by_wait(query.service);
+        let expected_wait =
+            if is_by_wait { self.expected_wait(now, query.service, index) } else { Duration::ZERO };
         let service = self.services.entry(query.service.to_owned()).or_default();
         if query.is_retry && !service.retries.spend(now, &self.bounds, instances) {
             return Err(refuse(ChoiceRefusalReason::RetryBudget, FULL_RETRY_AFTER));
@@ -249,7 +272,8 @@
             service.retries.count_request(now, self.bounds.retry_window);
         }
         let state = &mut service.endpoints[index];
-        let is_warm = self.recent.record(query.object, state.key);
+        let is_known = self.recent.contains(query.object, state.key);
+        let is_latest = self.recent.record(query.object, state.key);
         state.outlier.start_probe(now);
         state.in_flight += 1;
         let is_limited = state.pacer.is_some();
@@ -262,8 +286,9 @@
             address: state.record.address,
             started_ms: state.record.started_ms,
             rank,
-            is_warm,
+            is_warm: if is_by_wait { is_known } else { is_latest },
             is_limited,
+            expected_wait,
         })
     }
 
@@ -289,9 +314,8 @@
         state.in_flight = state.in_flight.saturating_sub(1);
         if let Some(report) = report {
             self.states_work |= report.work_percent.is_some();
-            let total = f64::from(report.running + report.waiting);
-            state.other_requests = (total - f64::from(state.in_flight)).max(0.0);
-            state.reported_at = now;
+            service.states_work |= report.work_percent.is_some();
+            state.record_report(now, report);
         }
         let is_response = matches!(outcome, AttemptOutcome::Answered(_) | AttemptOutcome::Shed);
         if is_response || outcome.is_path_failure() {
@@ -392,7 +416,7 @@
             }
             capacity[state.region] += state.slots();
         }
-        let shares = self.shares(&capacity);
+        let shares = self.shares(query.service, &capacity);
         let mut best: SmallVec<[(f64, usize); MAX_CANDIDATES]> = SmallVec::new();
         for (index, state) in service.endpoints.iter().enumerate() {
             let is_allowed =
@@ -455,9 +479,13 @@
 
     /// Returns the shares of this instance's demand by region. The extra entry for unknown failure
     /// domains has a share only if no region has any capacity.
-    fn shares(&self, capacity: &[f64]) -> RegionShares {
+    fn shares(&self, service: &str, capacity: &[f64]) -> RegionShares {
         let known = &capacity[..self.region_names.len()];
         let mut shares = region_shares(self.own_region, known);
+        let service_state = self.services.get(service);
+        if let Some(state) = service_state.filter(|_| self.is_steered_by_wait(service)) {
+            shares = state.shift.apply(&shares, known);
+        }
         let has_known_region = known.iter().any(|slots| *slots > 0.0);
         shares.push(if has_known_region { 0.0 } else { 1.0 });
         shares
@@ -475,6 +503,11 @@
         query: &EndpointQuery<'_>,
         candidates: &[usize],
     ) -> Result<(usize, usize), ChoiceRefusal> {
+        let is_high = query.priority() <= LOWEST_HIGH_PRIORITY;
+        let limit = if is_high { MAX_LOAD_HIGH_PRIORITY } else { MAX_LOAD_LOW_PRIORITY };
+        if let Some(member) = self.pick_by_wait(now, query, candidates, limit) {
+            return Ok(member);
+        }
         let mut ranked = candidates.iter().copied().enumerate();
         let own = ranked.find(|(_, index)| self.is_within_cold_rate(now, query.service, *index));
         let Some((rank, index)) = own else {
@@ -484,8 +517,6 @@
         let next = ranked.find(|(_, index)| self.is_warm(now, query.service, *index));
         let next_load =
             next.map_or(f64::INFINITY, |(_, next)| self.load_of(now, query.service, next));
-        let is_high = query.priority() <= LOWEST_HIGH_PRIORITY;
-        let limit = if is_high { MAX_LOAD_HIGH_PRIORITY } else { MAX_LOAD_LOW_PRIORITY };
         let is_next_better = if query.route.is_sticky {
             load >= limit && next_load < MAX_SPILLOVER_LOAD
         } else {
@@ -502,6 +533,21 @@
         }
     }
 
+    /// Picks the endpoint with the least expected time. Returns `None` if there is no estimate, if the
+    /// preferred endpoint is cold, which its cold rate then decides, or if the endpoint is full.
+    fn pick_by_wait(
+        &self,
+        now: PolicyTime,
+        query: &EndpointQuery<'_>,
+        candidates: &[usize],
+        limit: f64,
+    ) -> Option<(usize, usize)> {
+        let set = self.endpoint_set(now, query, candidates)?;
+        set.first().filter(|first| first.rank == 0)?;
+        let member = select_member(&set)?;
+        (member.load < limit).then_some((member.rank, member.index))
+    }
+
     fn is_warm(&self, now: PolicyTime, service: &str, index: usize) -> bool {
         let state = self.services.get(service).and_then(|state| state.endpoints.get(index));
         state.is_some_and(|state| now >= state.cold_until)
