--- a/crates/jackdawmux_policy/tests/forwarding.rs
+++ b/crates/jackdawmux_policy/tests/forwarding.rs
@@ -93,6 +93,26 @@
     assert_eq!(name(&lost, &[], 0.5), None);
 }
 
+/// Guards against a body that is sent to a region which its team or its route does not allow.
+#[rstest]
+#[case::team_only(&[], &["south"], Some("front-1"))]
+#[case::common_region(&["north", "south"], &["south"], Some("front-1"))]
+#[case::no_common_region(&["north"], &["south"], None)]
+fn peers_are_in_homes_of_route_and_team(
+    #[case] homes: &[&str],
+    #[case] team_homes: &[&str],
+    #[case] expected: Option<&str>,
+) {
+    let records = [record(1, 500), record(2, 500)];
+    let live = views(&records, &[("south", false), ("north", false)]);
+    let owned = |homes: &[&str]| -> Vec<String> { homes.iter().map(|&home| home.into()).collect() };
+    let (homes, team_homes) = (owned(homes), owned(team_homes));
+    for draw in [0.0, 0.99] {
+        let query = PeerQuery { team_homes: &team_homes, ..query(&homes, &[], draw) };
+        assert_eq!(select_peer(&live, &query).map(|peer| peer.name.as_str()), expected);
+    }
+}
+
 /// Guards against small instances that are asked as often as large ones.
 #[test]
 fn peers_are_asked_in_proportion_to_their_capacity() {
