--- a/crates/jackdawmux_policy/tests/permission_model.rs
+++ b/crates/jackdawmux_policy/tests/permission_model.rs
@@ -19,6 +19,11 @@
 /// Difference between the clocks of two instances, in milliseconds.
 const CLOCK_OFFSET: u64 = 1_000_000;
 
+/// Era and version.
+type Position = (u64, u64);
+/// Offset in microseconds to the arrival of the request, and version.
+type RelayedProof = (i64, u64);
+
 /// What happens next. Instance 1 may read from instance 0, its relay.
 #[derive(Clone, Copy, Debug)]
 enum Step {
@@ -45,17 +50,16 @@
 #[derive(Clone, Copy, Debug)]
 struct DirectRead {
     started: PolicyTime,
-    /// Position (era and version) from which changes are watched; none for a list.
-    from: Option<(u64, u64)>,
-    /// Era and version in the reply.
-    reply: Option<(u64, u64)>,
+    /// Position from which changes are watched; none for a list.
+    from: Option<Position>,
+    reply: Option<Position>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct RelayRead {
     sent: PolicyTime,
-    /// Position of the relay's updates, and its proof with the offset in milliseconds.
-    reply: Option<((u64, u64), Option<(i64, u64)>)>,
+    /// Position of the relay's updates, and its proof.
+    reply: Option<(Position, Option<RelayedProof>)>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -64,8 +68,8 @@
     era: u64,
     /// Version in force; versions only rise.
     in_force: u64,
-    /// Position (era and version) after the latest read.
-    position: Option<(u64, u64)>,
+    /// Position after the latest read.
+    position: Option<Position>,
     read: Option<DirectRead>,
     relay_read: Option<RelayRead>,
 }
