--- a/crates/jackdawmux_front/src/process/cap_service.rs
+++ b/crates/jackdawmux_front/src/process/cap_service.rs
@@ -91,7 +91,7 @@
         let limits = limits.collect();
         let now = self.clock.now();
         let mut desk = self.lock();
-        desk.caps.set_limits(now, limits);
+        desk.caps.set_limits(now, &limits);
         desk.deliver(now);
     }
 
--- a/crates/jackdawmux_policy/src/fleet/cap/state.rs
+++ b/crates/jackdawmux_policy/src/fleet/cap/state.rs
@@ -42,7 +42,6 @@
     members: CapMembers,
     holder: CapHolder,
     client: CapClient,
-    limits: HashMap<TeamId, CapLimit>,
     /// Start of the latest read that confirmed the list of instances.
     proven_at: Option<PolicyTime>,
 }
@@ -57,16 +56,14 @@
             members: CapMembers::new(HolderId::of(own), own_region),
             holder: CapHolder::default(),
             client: CapClient::default(),
-            limits: HashMap::new(),
             proven_at: None,
         }
     }
 
     /// Applies the caps of the configuration in force.
-    pub fn set_limits(&mut self, now: PolicyTime, limits: HashMap<TeamId, CapLimit>) {
-        self.holder.set_limits(now, &limits);
+    pub fn set_limits(&mut self, now: PolicyTime, limits: &HashMap<TeamId, CapLimit>) {
+        self.holder.set_limits(now, limits);
         self.client.retain(|team| limits.contains_key(team));
-        self.limits = limits;
     }
 
     /// Applies the registration of an instance; `address` is its cap address, if it states one.
--- a/crates/jackdawmux_policy/tests/caps.rs
+++ b/crates/jackdawmux_policy/tests/caps.rs
@@ -48,7 +48,7 @@
             let list =
                 list.map(|(other, name)| (name.as_str(), REGIONS[other % 3], Some(address(other))));
             caps.replace(now, list);
-            caps.set_limits(now, HashMap::from([(TEAM, limit)]));
+            caps.set_limits(now, &HashMap::from([(TEAM, limit)]));
             caps
         });
         Self {
@@ -68,7 +68,7 @@
     fn set_limit(&mut self, rate: f64, burst: f64) {
         self.limit = CapLimit::new(rate, burst).expect("a positive rate");
         for caps in &mut self.instances {
-            caps.set_limits(self.now, HashMap::from([(TEAM, self.limit)]));
+            caps.set_limits(self.now, &HashMap::from([(TEAM, self.limit)]));
         }
     }
 
@@ -246,7 +246,7 @@
     let now = PolicyTime::from_millis(60_000);
     let mut caps = CapState::new(1, "front-0", "east");
     let limit = CapLimit::new(5.0, 5.0).expect("a positive rate");
-    caps.set_limits(PolicyTime(1), HashMap::from([(TEAM, limit)]));
+    caps.set_limits(PolicyTime(1), &HashMap::from([(TEAM, limit)]));
     if is_listed {
         caps.register(PolicyTime(1), "front-0", "east", Some(address(0)));
     }
--- a/crates/jackdawmux_policy/tests/caps_model.rs
+++ b/crates/jackdawmux_policy/tests/caps_model.rs
@@ -90,7 +90,7 @@
             rng,
             team: TeamId(seed),
             has_clean_network,
-            is_greedy: seed % 2 == 0,
+            is_greedy: seed.is_multiple_of(2),
             now: PolicyTime::from_millis(1),
             instances: Vec::new(),
             registered: BTreeMap::new(),
@@ -232,7 +232,7 @@
             if now >= instance.config_at || instance.config == usize::MAX {
                 instance.config = latest;
                 let limits = HashMap::from([(self.team, self.limits[latest].1)]);
-                instance.caps.set_limits(now, limits);
+                instance.caps.set_limits(now, &limits);
             }
         }
     }
