--- a/crates/jackdawmux_front/src/lib.rs
+++ b/crates/jackdawmux_front/src/lib.rs
@@ -11,9 +11,9 @@
 pub mod source;
 pub mod upstream;
 
-pub use dialect::{LookupQuery, RequestHeaders, ResponseHeaders, WireDialect};
+pub use dialect::{Credential, LookupQuery, RequestHeaders, ResponseHeaders, WireDialect};
 pub use process::{FrontError, FrontProcess, FrontSettings};
 pub use source::{
-    FleetSource, FleetUpdate, ListFreshness, SourceError, SourceErrorKind, SourcePosition,
-    UpdateBatch, WatchTopic,
+    FleetSource, FleetUpdate, ListFreshness, ReadEvidence, SourceError, SourceErrorKind,
+    SourcePosition, UpdateBatch, WatchTopic,
 };
--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -5,17 +5,23 @@
 use std::time::Duration;
 
 use jackdawmux_policy::clock::PolicyTime;
+use jackdawmux_policy::fleet::cap::CapRefusal;
 use jackdawmux_policy::fleet::config_freshness::ConfigFreshness;
 use jackdawmux_policy::fleet::directory::InstanceDirectory;
 use jackdawmux_policy::fleet::freshness::FreshnessTracker;
+use jackdawmux_policy::fleet::placement::LookupSpread;
+use jackdawmux_policy::fleet::record::TeamRecord;
 use jackdawmux_policy::fleet::relay::{ReadPath, RelaySuspicions};
 use jackdawmux_policy::fleet::steering::FleetSteering;
 use jackdawmux_runtime::{ListenerLimits, ProcessClock, ProcessMetrics};
 use strum::{Display, EnumCount, FromRepr};
 use tokio::sync::{Notify, Semaphore, watch};
 
+use super::cap_service::{CapPermit, CapService};
 use super::connectivity::SourceConnectivity;
+use super::request_meter::RequestMeter;
 use super::settings::FrontSettings;
+use super::team_permission::TeamPermission;
 use crate::dialect::WireDialect;
 use crate::relay::RelayHub;
 use crate::source::{SourcePosition, WatchTopic};
@@ -88,13 +94,17 @@
     pub(crate) later_config_at: watch::Sender<String>,
     /// Name of the peer that is asked what it knows from before a restore of the source.
     pub(crate) restore_facts_at: watch::Sender<String>,
+    /// Age of the configuration in force and of the list of instances.
+    pub(crate) permission: TeamPermission,
     steering: Mutex<FleetSteering>,
     config_freshness: Mutex<ConfigFreshness>,
     freshness: Mutex<FreshnessTracker>,
     directory: Mutex<InstanceDirectory>,
+    pub(crate) cap_service: Arc<CapService>,
     registered_at: Mutex<Option<SourcePosition>>,
     phase: AtomicU8,
     stop: OnceLock<PlannedStop>,
+    request_meter: RequestMeter,
 }
 
 impl FrontState {
@@ -108,14 +118,19 @@
         let regions = Arc::new(settings.regions.clone());
         let bounds = settings.bounds.clone();
         let (own, domain) = (&settings.instance, &settings.domain);
+        let permission = TeamPermission::new(&bounds);
         let steering = FleetSteering::new(own, domain, Arc::clone(&regions), bounds);
         let peer_limits = watch::Sender::new(*limits.borrow());
         let capacity = usize::try_from(settings.capacity_permille).unwrap_or(usize::MAX);
         let max_forwarded = (capacity / CAPACITY_PER_FORWARDED).max(MIN_FORWARDED);
+        let clock = ProcessClock::default();
+        let region = regions.get(domain).map_or("", String::as_str);
+        let has_caps = settings.cap_address().is_some();
+        let cap_service = CapService::new(own, region, has_caps, clock, metrics.caps().clone());
         let directory = InstanceDirectory::new(&settings.instance, regions);
         Self {
             dialect,
-            clock: ProcessClock::default(),
+            clock,
             metrics,
             pool: UpstreamPool::default(),
             peers: UpstreamPool::default(),
@@ -135,13 +150,16 @@
             heartbeat_due: Notify::new(),
             later_config_at: watch::Sender::default(),
             restore_facts_at: watch::Sender::default(),
+            permission,
             steering: Mutex::new(steering),
             config_freshness: Mutex::default(),
             freshness: Mutex::default(),
             directory: Mutex::new(directory),
+            cap_service: Arc::new(cap_service),
             registered_at: Mutex::default(),
             phase: AtomicU8::new(FrontPhase::Starting as u8),
             stop: OnceLock::new(),
+            request_meter: RequestMeter::default(),
             settings,
         }
     }
@@ -166,11 +184,22 @@
         self.steering().table().map_or(0, |table| table.version())
     }
 
+    /// Whether the configuration in force has teams.
+    pub(crate) fn has_teams(&self) -> bool {
+        self.steering().table().is_some_and(|table| table.config().teams.is_some())
+    }
+
     /// Locks the directory of instances.
     pub(crate) fn directory(&self) -> MutexGuard<'_, InstanceDirectory> {
         self.directory.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Request caps of teams.
+    #[must_use]
+    pub const fn caps(&self) -> CapAccess<'_> {
+        CapAccess { state: self }
+    }
+
     /// Locks the position at which this instance was registered; none while it is not.
     pub(crate) fn registered_at(&self) -> MutexGuard<'_, Option<SourcePosition>> {
         self.registered_at.lock().unwrap_or_else(PoisonError::into_inner)
@@ -209,6 +238,24 @@
         self.peer_suspicions.lock().unwrap_or_else(PoisonError::into_inner).contains(now, peer)
     }
 
+    /// Counts a request from a caller.
+    pub(crate) fn count_caller_request(&self) {
+        self.request_meter.count();
+    }
+
+    /// Requests per second that callers send here.
+    pub(crate) fn request_rate(&self) -> u32 {
+        self.request_meter.measure(self.clock.now())
+    }
+
+    /// How callers are spread over the instances of their region.
+    pub(crate) fn lookup_spread(&self, region: &str) -> LookupSpread {
+        if !self.steering().is_load_aware() {
+            return LookupSpread::Whole;
+        }
+        LookupSpread::Concentrated(self.directory().demand(region))
+    }
+
     /// Current phase of the process.
     pub(crate) fn phase(&self) -> FrontPhase {
         FrontPhase::from_repr(self.phase.load(Ordering::Relaxed)).unwrap_or(FrontPhase::Starting)
@@ -237,3 +284,25 @@
         log::info!("event=phase-changed from={before} to={phase}");
     }
 }
+
+/// Access of requests to the caps of their teams.
+#[derive(Clone, Copy, Debug)]
+pub struct CapAccess<'state> {
+    state: &'state FrontState,
+}
+
+impl CapAccess<'_> {
+    /// Requests a token of the cap of a team; returns at once if it has no cap. The wait is bounded
+    /// by 250 ms and checked against the deadline each time that a holder does not reply.
+    ///
+    /// # Errors
+    /// When the request is above the cap, or no holder of the cap replies. It must not be run.
+    pub async fn acquire(
+        self,
+        team: &TeamRecord,
+        deadline: PolicyTime,
+    ) -> Result<CapPermit, CapRefusal> {
+        let proof_age = self.state.instances_proof_age();
+        self.state.cap_service.acquire(team, deadline, proof_age).await
+    }
+}
--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -12,6 +12,7 @@
 use jackdawmux_policy::fleet::endpoint_state::EndpointChange;
 use jackdawmux_policy::fleet::record::{CallerLimits, ConfigRecord, FleetBounds, InstanceRecord};
 use jackdawmux_policy::fleet::relay::{ReadPath, RelayTimes};
+use jackdawmux_policy::fleet::routing::{KeyConflict, RouteTable};
 use jackdawmux_runtime::ListenerLimits;
 use kameo::Actor;
 use kameo::message::{Context, Message};
@@ -20,6 +21,7 @@
 
 use super::heartbeat::Heartbeat;
 use super::state::{FrontPhase, FrontState};
+use super::team_permission::{AppliedReply, ReadFacts};
 use crate::source::{FleetUpdate, SourcePosition, UpdateBatch, WatchTopic};
 
 /// File descriptors reserved for files, listeners, the store and upstreams; callers' connections
@@ -38,6 +40,9 @@
 /// change at slightly different times.
 const BEHIND_GRACE: Duration = Duration::from_millis(500);
 
+/// Keys stated by two teams that are logged for one version of the configuration.
+const MAX_LOGGED_CONFLICTS: usize = 8;
+
 /// The only task that applies updates to the fleet state.
 #[derive(Actor, Debug)]
 pub(crate) struct StateActor {
@@ -57,8 +62,8 @@
 pub(crate) struct ApplyUpdates {
     pub(crate) topic: WatchTopic,
     pub(crate) batch: UpdateBatch,
-    /// Whether the batch is the full list, so that entries missing from it are removed.
-    pub(crate) is_full_list: bool,
+    /// How the batch was read. Entries missing from a full list are removed.
+    pub(crate) read: ReadFacts,
 }
 
 /// The source answers calls again after an outage.
@@ -84,7 +89,7 @@
     type Reply = ();
 
     async fn handle(&mut self, message: ApplyUpdates, _context: &mut Context<Self, ()>) {
-        let ApplyUpdates { topic, batch, is_full_list } = message;
+        let ApplyUpdates { topic, batch, read } = message;
         let now = self.state.clock.now();
         let position = batch.position;
         let newest = SourcePosition { era: position.era, revision: batch.newest_revision };
@@ -92,7 +97,8 @@
             log::info!("event=reply-discarded topic={topic} at={position} reason=past-era");
             return;
         }
-        if is_full_list {
+        let reply = AppliedReply::new(topic, &batch, read);
+        if read.is_full_list {
             log::info!(
                 "event=list-read topic={topic} at={position} count={} is_relayed={}",
                 batch.updates.len(),
@@ -105,6 +111,9 @@
             }
         }
         self.state.freshness().record_applied(topic, newest);
+        if self.state.permission.record_reply(reply, self.state.config_version()) {
+            self.state.relay.wake_readers();
+        }
         self.refresh_phase();
     }
 }
@@ -132,12 +141,19 @@
             is_connected,
         );
         self.state.directory().set_isolated(&heartbeat.instance, heartbeat.is_isolated);
+        let rate = f64::from(heartbeat.request_rate);
+        self.state.directory().record_request_rate(&heartbeat.instance, rate);
         let connected = Duration::from_millis(heartbeat.source_connected_ms);
+        let domain = self.state.directory().domain(&heartbeat.instance).map(str::to_owned);
         let mut steering = self.state.steering();
+        if let Some(domain) = domain {
+            steering.record_demands(now, &heartbeat.instance, &domain, &heartbeat.demands);
+        }
         steering.record_peer_source_connection(now, connected);
         steering.crashes_mut().apply_peer_crashes(now, &heartbeat.instance, &heartbeat.crashes);
         let own = steering.table().map_or(0, |table| table.version());
         drop(steering);
+        self.state.permission.record_peer(heartbeat.config_version);
         self.request_restore_facts(now, &heartbeat.instance);
         let mut config_freshness = self.state.config_freshness();
         config_freshness.record_peer(now, own, &heartbeat.instance, heartbeat.config_version);
@@ -162,11 +178,13 @@
         self.state.pool.close_expired();
         self.state.peers.close_expired();
         self.state.check_reachability(now);
+        self.update_demand(now);
         if self.state.steering().take_settled(now) {
             log::info!("event=restore-settled");
             self.state.is_behind.iter().for_each(Notify::notify_one);
         }
         self.check_config(now);
+        self.state.check_permission();
         let is_direct = self.state.read_path() == ReadPath::Direct;
         let times = RelayTimes::new(self.state.settings.bounds.update_deadline);
         let relay_delay = if is_direct { Duration::ZERO } else { times.batch_delay };
@@ -183,6 +201,7 @@
     type Reply = ();
 
     async fn handle(&mut self, message: SetBounds, _context: &mut Context<Self, ()>) {
+        self.state.permission.set_bounds(&message.0);
         self.state.steering().set_bounds(message.0);
     }
 }
@@ -228,7 +247,9 @@
                 let records: Vec<InstanceRecord> = records.collect();
                 self.check_registration(&records, position);
                 let is_settling = self.state.steering().is_settling(now);
-                self.state.directory().replace(records, is_settling);
+                let mut directory = self.state.directory();
+                directory.replace(records, is_settling);
+                self.state.cap_service.replace(directory.registrations());
             }
         }
     }
@@ -257,11 +278,14 @@
                     record.name,
                     record.address
                 );
-                self.state.directory().register(record);
+                let mut directory = self.state.directory();
+                self.state.cap_service.register(&record, directory.region_of(&record.domain));
+                directory.register(record);
             }
             FleetUpdate::InstanceRemoved(name) => {
                 log::info!("event=instance-withdrawn instance={name} at={position}");
                 self.state.directory().withdraw(&name);
+                self.state.cap_service.withdraw(&name);
                 if name == self.state.settings.instance {
                     self.request_registration();
                 }
@@ -269,6 +293,13 @@
         }
     }
 
+    fn update_demand(&self, now: PolicyTime) {
+        let rate = f64::from(self.state.request_rate());
+        let mut directory = self.state.directory();
+        directory.record_request_rate(&self.state.settings.instance, rate);
+        directory.update_demand(now);
+    }
+
     /// Requests another registration if a list that is new enough to contain the own one does not.
     fn check_registration(&self, records: &[InstanceRecord], position: SourcePosition) {
         let registered_at = *self.state.registered_at();
@@ -294,12 +325,27 @@
     pub(super) fn apply_config(&self, config: ConfigRecord, origin: &dyn Display) {
         let (version, limits) = (config.version, config.limits);
         let (routes, services) = (config.routes.len(), config.services.len());
-        if !self.state.steering().apply_config(config) {
+        if !self.state.steering().is_newer_config(version) {
             log::info!("event=config-ignored version={version} {origin} reason=not-newer");
             return;
         }
+        // Indexed before the steering state is locked, because requests wait for that lock.
+        let table = Arc::new(RouteTable::new(config));
+        let has_teams = table.has_teams();
+        // Set before the configuration is in force: no request may use its keys without permission.
+        self.state.permission.set_has_teams(has_teams || self.state.has_teams());
+        self.state.steering().apply_table(Arc::clone(&table));
+        self.state.permission.set_has_teams(has_teams);
+        self.state.cap_service.set_teams(table.config().teams.as_deref().unwrap_or_default());
         self.state.metrics.set_config_version(version);
         self.apply_limits(&limits);
+        let conflicts = table.key_conflicts();
+        for KeyConflict { holder, other } in conflicts.iter().take(MAX_LOGGED_CONFLICTS) {
+            log::warn!(
+                "event=team-key-shared version={version} team={holder:?} refused={other:?} count={}",
+                conflicts.len()
+            );
+        }
         log::info!(
             "event=config-in-force version={version} routes={routes} services={services} \
              {origin}"
@@ -343,9 +389,12 @@
     /// Divides shares among the instances that are currently registered, and enters the serving
     /// phase once a configuration and at least one endpoint are known.
     pub(super) fn refresh_phase(&self) {
-        let names = self.state.directory().names();
+        let directory = self.state.directory();
+        let (names, domains) = (directory.names(), directory.domains());
+        drop(directory);
         let mut steering = self.state.steering();
         steering.set_instances(names);
+        steering.set_instance_domains(domains.iter().map(String::as_str));
         let is_ready = steering.table().is_some() && steering.endpoint_count() > 0;
         drop(steering);
         if is_ready {
--- a/crates/jackdawmux_front/src/request/refusal.rs
+++ b/crates/jackdawmux_front/src/request/refusal.rs
@@ -5,6 +5,7 @@
 use axum::body::Body;
 use axum::http::header::{CONTENT_TYPE, RETRY_AFTER};
 use axum::http::{HeaderValue, Response, StatusCode};
+use jackdawmux_policy::fleet::cap::CapRefusal;
 use jackdawmux_policy::fleet::choice::{ChoiceRefusal, ChoiceRefusalReason};
 use serde_json::json;
 use strum::Display;
@@ -19,6 +20,9 @@
 const ISOLATED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry-after delay while this process stops. Another instance can serve the request at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(5);
+/// Retry-after delay while this instance cannot show that a key is valid. The configuration is read
+/// again within this time if the source answers.
+const PERMISSION_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Random extension of retry-after delays, as a share, so that callers do not retry all at once.
 const RETRY_AFTER_SPREAD: f64 = 0.5;
 
@@ -30,6 +34,15 @@
     NoConfiguration,
     /// No route matches the request.
     NoRoute,
+    /// The key belongs to no team; the request was not run.
+    UnknownKey,
+    /// The route needs a key and the request carries none; it was not run.
+    MissingKey,
+    /// The key is repeated or has another format; the request was not run.
+    MalformedKey,
+    /// The configuration in force here may be too old to say whether the key is valid; the request
+    /// was not run.
+    PermissionUnknown,
     /// The body is larger than allowed.
     BodyTooLarge,
     /// The body could not be read to its end.
@@ -53,10 +66,26 @@
     DeadlinePassed,
     /// The request is blocked, because it crashed the endpoints that ran it.
     Poisonous,
+    /// The team's request cap is used up; it was not run. Holds the retry-after delay.
+    #[strum(to_string = "over-cap")]
+    OverCap(Duration),
+    /// Nobody could tell whether the request is within the team's cap; it was not run. Holds the
+    /// retry-after delay.
+    #[strum(to_string = "cap-unknown")]
+    CapUnknown(Duration),
     /// The endpoint sent no complete, valid response; the request may have run.
     UpstreamLost,
 }
 
+impl From<CapRefusal> for FrontRefusal {
+    fn from(refusal: CapRefusal) -> Self {
+        match refusal {
+            CapRefusal::OverCap { retry_after } => Self::OverCap(retry_after),
+            CapRefusal::Unknown { retry_after } => Self::CapUnknown(retry_after),
+        }
+    }
+}
+
 impl From<BodyError> for FrontRefusal {
     fn from(error: BodyError) -> Self {
         match error {
@@ -67,7 +96,7 @@
 }
 
 impl FrontRefusal {
-    /// Status code sent to the caller. 503 is used only if the request certainly did not run.
+    /// Status code sent to the caller. 429 and 503 are used only if the request certainly did not run.
     pub(crate) const fn status(self) -> StatusCode {
         match self {
             Self::NoConfiguration
@@ -76,7 +105,11 @@
             | Self::Unreachable
             | Self::Isolated
             | Self::Stopping
+            | Self::PermissionUnknown
+            | Self::CapUnknown(_)
             | Self::DeadlineUnsent => StatusCode::SERVICE_UNAVAILABLE,
+            Self::UnknownKey | Self::MissingKey | Self::MalformedKey => StatusCode::UNAUTHORIZED,
+            Self::OverCap(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken => StatusCode::BAD_REQUEST,
@@ -90,11 +123,17 @@
         match self {
             Self::NoConfiguration => Some(STARTING_RETRY_AFTER),
             Self::NotChosen(refusal) => Some(refusal.retry_after),
-            Self::Shed(retry_after) => Some(retry_after),
+            Self::Shed(retry_after)
+            | Self::OverCap(retry_after)
+            | Self::CapUnknown(retry_after) => Some(retry_after),
             Self::Isolated => Some(ISOLATED_RETRY_AFTER),
             Self::Stopping => Some(STOPPING_RETRY_AFTER),
+            Self::PermissionUnknown => Some(PERMISSION_RETRY_AFTER),
             Self::Unreachable | Self::DeadlineUnsent => Some(UNREACHABLE_RETRY_AFTER),
             Self::NoRoute
+            | Self::UnknownKey
+            | Self::MissingKey
+            | Self::MalformedKey
             | Self::BodyTooLarge
             | Self::BodyBroken
             | Self::DeadlinePassed
@@ -128,6 +167,19 @@
         is_stated || max_retry_after.is_some()
     }
 
+    /// Whether the request must not run with its key, or cannot be shown to be allowed.
+    pub(crate) const fn concerns_key(self) -> bool {
+        matches!(
+            self,
+            Self::UnknownKey | Self::MissingKey | Self::MalformedKey | Self::PermissionUnknown
+        )
+    }
+
+    /// Whether another instance may still serve the request.
+    pub(crate) const fn is_declinable(self) -> bool {
+        matches!(self, Self::Isolated | Self::Stopping | Self::PermissionUnknown)
+    }
+
     /// Kind of the refusal, without the details of the decision.
     pub(crate) fn kind(self) -> String {
         let text = self.to_string();
@@ -136,7 +188,12 @@
 
     /// Response to the caller, as problem details in JSON.
     pub(crate) fn response(self) -> Response<Body> {
-        let outcome = if self.status() == StatusCode::SERVICE_UNAVAILABLE { "not-run" } else { "" };
+        let is_not_run = self.concerns_key()
+            || matches!(
+                self.status(),
+                StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+            );
+        let outcome = if is_not_run { "not-run" } else { "" };
         let problem = json!({
             "type": format!("urn:jackdawmux:{}", self.kind()),
             "status": self.status().as_u16(),
--- a/crates/jackdawmux_policy/src/fleet/choice.rs
+++ b/crates/jackdawmux_policy/src/fleet/choice.rs
@@ -133,6 +133,8 @@
     pub is_limited: bool,
     /// Team in whose share the request is counted until it ends; `None` if it is not counted.
     pub share: Option<ShareKey>,
+    /// Wait that was expected at the endpoint; zero if it is not estimated for the service.
+    pub expected_wait: Duration,
 }
 
 /// Why no endpoint was chosen.
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -5,7 +5,9 @@
 //! preference order only if the preferred one is full, cold, failing or leaving.
 
 mod admission;
+mod demand;
 mod isolation;
+mod pressure;
 mod registrations;
 mod restore_facts;
 
@@ -15,7 +17,6 @@
 
 use smallvec::SmallVec;
 
-use self::admission::WorkEstimate;
 use super::admission::ActiveKinds;
 use super::affinity::rendezvous_score;
 use super::backoff::endpoint_pause;
@@ -25,13 +26,18 @@
 };
 use super::cold_start::{COLD_WINDOW, cold_share};
 use super::crash_record::CrashRecord;
-use super::endpoint_state::{EjectionCounts, EndpointState, RecentObjects, typical_latency};
+use super::endpoint_set::{ColdShares, select_member};
+use super::endpoint_state::{
+    EjectionCounts, EndpointState, RecentObjects, mean_utilisation, typical_latency,
+};
+use super::expected_wait::WorkTime;
 use super::fair_share::FairShare;
 use super::notices::{EndpointIncarnation, NoticeRegister};
 use super::outlier::AttemptOutcome;
 use super::reachability::{Reachability, ReachabilityTracker};
 use super::record::{ConfigRecord, FleetBounds, RouteRecord, ServiceRecord};
-use super::region_share::{RegionShares, region_shares};
+use super::region_demand::ServiceDemand;
+use super::region_share::{RegionShares, ShareShift, region_shares};
 use super::restore::RestoreTracker;
 use super::retry_share::RetryShare;
 use super::routing::RouteTable;
@@ -67,9 +73,18 @@
     endpoints: Vec<EndpointState>,
     retries: RetryShare,
     typical_latency_ms: f64,
-    work: WorkEstimate,
+    /// Whether an endpoint has stated in this process how long work takes.
+    states_work: bool,
+    work: WorkTime,
+    /// Time of the latest response from which `work` was estimated.
+    work_sampled_at: PolicyTime,
     kinds: ActiveKinds,
     shares: FairShare,
+    cold_shares: ColdShares,
+    demand: ServiceDemand,
+    shift: ShareShift,
+    /// Mean of the average loads that the endpoints report, as a multiple of their slots.
+    utilisation: f64,
 }
 
 /// An outage of the update source as seen by this instance.
@@ -95,6 +110,8 @@
     services: HashMap<String, ServiceState>,
     evacuated: HashSet<String>,
     instances: Vec<String>,
+    /// Number of registered instances by region.
+    region_members: Vec<usize>,
     splits: SplitTable,
     outage: Option<SourceOutage>,
     restore: RestoreTracker,
@@ -104,6 +121,8 @@
     reachability: ReachabilityTracker,
     /// When the first endpoint was added in this process.
     first_endpoint_at: Option<PolicyTime>,
+    /// Whether an endpoint has stated how long work takes on its machine.
+    states_work: bool,
 }
 
 impl FleetSteering {
@@ -124,6 +143,7 @@
         Self {
             own: own.to_owned(),
             own_region: own_region.unwrap_or(region_names.len()),
+            region_members: vec![0; region_names.len()],
             region_names,
             regions,
             bounds,
@@ -139,6 +159,7 @@
             crashes: CrashRecord::default(),
             reachability: ReachabilityTracker::default(),
             first_endpoint_at: None,
+            states_work: false,
         }
     }
 
@@ -150,12 +171,24 @@
 
     /// Applies a configuration if it is newer than the active one. Returns whether it was applied.
     pub fn apply_config(&mut self, config: ConfigRecord) -> bool {
-        let current = self.table.as_ref().map_or(0, |table| table.version());
-        if self.table.is_some() && config.version <= current {
-            return false;
+        self.is_newer_config(config.version) && self.apply_table(Arc::new(RouteTable::new(config)))
+    }
+
+    /// Returns whether a version of the configuration is newer than the active one.
+    #[must_use]
+    pub fn is_newer_config(&self, version: u64) -> bool {
+        self.table.as_ref().is_none_or(|table| version > table.version())
+    }
+
+    /// Applies an indexed configuration if it is newer than the active one. Returns whether it was
+    /// applied. Indexing many keys takes long, so that callers do it before they lock the steering
+    /// state.
+    pub fn apply_table(&mut self, table: Arc<RouteTable>) -> bool {
+        let is_newer = self.is_newer_config(table.version());
+        if is_newer {
+            self.table = Some(table);
         }
-        self.table = Some(Arc::new(RouteTable::new(config)));
-        true
+        is_newer
     }
 
     /// Sets the names of the registered instances, among which limits are divided.
@@ -187,10 +220,19 @@
                 !is_expired
             });
             service.typical_latency_ms = typical_latency(&service.endpoints);
+            service.utilisation = mean_utilisation(&service.endpoints);
         }
+        self.update_demand(now);
         removed
     }
 
+    /// Returns whether requests are steered by the load that endpoints state: in deployments with load
+    /// pressure, and where an endpoint states how long work takes on its machine.
+    #[must_use]
+    pub const fn is_load_aware(&self) -> bool {
+        self.bounds.has_pressure || self.states_work
+    }
+
     /// Returns the number of endpoints of all services.
     #[must_use]
     pub fn endpoint_count(&self) -> usize {
@@ -227,6 +269,9 @@
         let (rank, index) = self.pick(now, query, &candidates)?;
         self.admit(now, query, index)?;
         let instances = self.instances.len();
+        let is_by_wait = self.is_steered_by_wait(query.service);
+        let expected_wait =
+            if is_by_wait { self.expected_wait(now, query.service, index) } else { Duration::ZERO };
         let service = self.services.entry(query.service.to_owned()).or_default();
         if query.is_retry && !service.retries.spend(now, &self.bounds, instances) {
             return Err(refuse(ChoiceRefusalReason::RetryBudget, FULL_RETRY_AFTER));
@@ -237,7 +282,8 @@
         let share = self.start_share(query);
         let service = self.services.entry(query.service.to_owned()).or_default();
         let state = &mut service.endpoints[index];
-        let is_warm = self.recent.record(query.object, state.key);
+        let is_known = self.recent.contains(query.object, state.key);
+        let is_latest = self.recent.record(query.object, state.key);
         state.outlier.start_probe(now);
         state.in_flight += 1;
         let is_limited = state.pacer.is_some();
@@ -250,9 +296,10 @@
             address: state.record.address,
             started_ms: state.record.started_ms,
             rank,
-            is_warm,
+            is_warm: if is_by_wait { is_known } else { is_latest },
             is_limited,
             share,
+            expected_wait,
         })
     }
 
@@ -271,16 +318,15 @@
         let Some(service) = self.services.get_mut(service) else {
             return false;
         };
-        service.work.record(now, outcome, report);
         let typical_latency_ms = service.typical_latency_ms;
         let Some(state) = service.endpoints.iter_mut().find(|state| state.key == key) else {
             return false;
         };
         state.in_flight = state.in_flight.saturating_sub(1);
         if let Some(report) = report {
-            let total = f64::from(report.running + report.waiting);
-            state.other_requests = (total - f64::from(state.in_flight)).max(0.0);
-            state.reported_at = now;
+            self.states_work |= report.work_percent.is_some();
+            service.states_work |= report.work_percent.is_some();
+            state.record_report(now, report);
         }
         let is_response = matches!(outcome, AttemptOutcome::Answered(_) | AttemptOutcome::Shed);
         if is_response || outcome.is_path_failure() {
@@ -381,7 +427,7 @@
             }
             capacity[state.region] += state.slots();
         }
-        let shares = self.shares(&capacity);
+        let shares = self.shares(query.service, &capacity);
         let mut best: SmallVec<[(f64, usize); MAX_CANDIDATES]> = SmallVec::new();
         for (index, state) in service.endpoints.iter().enumerate() {
             let is_allowed =
@@ -444,9 +490,13 @@
 
     /// Returns the shares of this instance's demand by region. The extra entry for unknown failure
     /// domains has a share only if no region has any capacity.
-    fn shares(&self, capacity: &[f64]) -> RegionShares {
+    fn shares(&self, service: &str, capacity: &[f64]) -> RegionShares {
         let known = &capacity[..self.region_names.len()];
         let mut shares = region_shares(self.own_region, known);
+        let service_state = self.services.get(service);
+        if let Some(state) = service_state.filter(|_| self.is_steered_by_wait(service)) {
+            shares = state.shift.apply(&shares, known);
+        }
         let has_known_region = known.iter().any(|slots| *slots > 0.0);
         shares.push(if has_known_region { 0.0 } else { 1.0 });
         shares
@@ -464,6 +514,11 @@
         query: &EndpointQuery<'_>,
         candidates: &[usize],
     ) -> Result<(usize, usize), ChoiceRefusal> {
+        let is_high = query.priority() <= LOWEST_HIGH_PRIORITY;
+        let limit = if is_high { MAX_LOAD_HIGH_PRIORITY } else { MAX_LOAD_LOW_PRIORITY };
+        if let Some(member) = self.pick_by_wait(now, query, candidates) {
+            return Ok(member);
+        }
         let mut ranked = candidates.iter().copied().enumerate();
         let own = ranked.find(|(_, index)| self.is_within_cold_rate(now, query.service, *index));
         let Some((rank, index)) = own else {
@@ -473,8 +528,6 @@
         let next = ranked.find(|(_, index)| self.is_warm(now, query.service, *index));
         let next_load =
             next.map_or(f64::INFINITY, |(_, next)| self.load_of(now, query.service, next));
-        let is_high = query.priority() <= LOWEST_HIGH_PRIORITY;
-        let limit = if is_high { MAX_LOAD_HIGH_PRIORITY } else { MAX_LOAD_LOW_PRIORITY };
         let is_next_better = if query.route.is_sticky {
             load >= limit && next_load < MAX_SPILLOVER_LOAD
         } else {
@@ -483,7 +536,7 @@
         match next {
             Some(next) if is_next_better => Ok(next),
             // Requests of services with estimates are limited by their expected wait instead.
-            _ if load < limit || self.usual_work(query.service).is_some() => Ok((rank, index)),
+            _ if load < limit || self.admission_work(query.service).is_some() => Ok((rank, index)),
             _ => {
                 let report_age = self.report_age(now, query.service, index);
                 let load = Some(LoadView { load, limit, report_age });
@@ -492,6 +545,20 @@
         }
     }
 
+    /// Picks the endpoint with the least expected time. Returns `None` if there is no estimate, or
+    /// if the preferred endpoint is cold, which its cold rate then decides. Whether the request may wait
+    /// there is decided by its admission.
+    fn pick_by_wait(
+        &self,
+        now: PolicyTime,
+        query: &EndpointQuery<'_>,
+        candidates: &[usize],
+    ) -> Option<(usize, usize)> {
+        let set = self.endpoint_set(now, query, candidates)?;
+        set.first().filter(|first| first.rank == 0)?;
+        select_member(&set).map(|member| (member.rank, member.index))
+    }
+
     fn is_warm(&self, now: PolicyTime, service: &str, index: usize) -> bool {
         let state = self.services.get(service).and_then(|state| state.endpoints.get(index));
         state.is_some_and(|state| now >= state.cold_until)
--- a/crates/jackdawmux_policy/tests/forwarding.rs
+++ b/crates/jackdawmux_policy/tests/forwarding.rs
@@ -4,7 +4,7 @@
 
 use jackdawmux_policy::fleet::directory::InstanceView;
 use jackdawmux_policy::fleet::forwarding::{PeerQuery, select_peer};
-use jackdawmux_policy::fleet::placement::{MAX_LOOKUP_INSTANCES, select_instances};
+use jackdawmux_policy::fleet::placement::{LookupSpread, MAX_LOOKUP_INSTANCES, select_instances};
 use jackdawmux_policy::fleet::record::InstanceRecord;
 use rstest::rstest;
 
@@ -47,7 +47,7 @@
 ) {
     let records: Vec<InstanceRecord> = (0..3).map(|index| record(index, 500)).collect();
     let live = views(&records, states);
-    let selected = select_instances(&live, "north", 0.5);
+    let selected = select_instances(&live, "north", 0.5, LookupSpread::Whole);
     let ports: Vec<u16> = selected.iter().map(|view| view.record.address.port()).collect();
     assert_eq!(ports, expected);
 }
@@ -58,7 +58,7 @@
     let records: Vec<InstanceRecord> = (0..118).map(|index| record(index, 500)).collect();
     let states: Vec<(&str, bool)> = (0..118).map(|index| ("north", index < 40)).collect();
     let live = views(&records, &states);
-    let selected = select_instances(&live, "north", 0.5);
+    let selected = select_instances(&live, "north", 0.5, LookupSpread::Whole);
     assert_eq!(selected.len(), MAX_LOOKUP_INSTANCES);
     assert!(selected.iter().all(|view| !view.is_isolated));
 }
@@ -68,7 +68,7 @@
     excluded: &'query [String],
     draw: f64,
 ) -> PeerQuery<'query> {
-    PeerQuery { own: "front-0", region: "north", homes, excluded, draw }
+    PeerQuery { own: "front-0", region: "north", homes, team_homes: &[], excluded, draw }
 }
 
 /// Guards against a request that is sent to a region which is none of its homes, to an instance that
@@ -93,6 +93,26 @@
     assert_eq!(name(&lost, &[], 0.5), None);
 }
 
+/// Guards against a body that is sent to a region which its team or its route does not allow.
+#[rstest]
+#[case::team_only(&[], &["south"], Some("front-1"))]
+#[case::common_region(&["north", "south"], &["south"], Some("front-1"))]
+#[case::no_common_region(&["north"], &["south"], None)]
+fn peers_are_in_homes_of_route_and_team(
+    #[case] homes: &[&str],
+    #[case] team_homes: &[&str],
+    #[case] expected: Option<&str>,
+) {
+    let records = [record(1, 500), record(2, 500)];
+    let live = views(&records, &[("south", false), ("north", false)]);
+    let owned = |homes: &[&str]| -> Vec<String> { homes.iter().map(|&home| home.into()).collect() };
+    let (homes, team_homes) = (owned(homes), owned(team_homes));
+    for draw in [0.0, 0.99] {
+        let query = PeerQuery { team_homes: &team_homes, ..query(&homes, &[], draw) };
+        assert_eq!(select_peer(&live, &query).map(|peer| peer.name.as_str()), expected);
+    }
+}
+
 /// Guards against small instances that are asked as often as large ones.
 #[test]
 fn peers_are_asked_in_proportion_to_their_capacity() {
--- a/crates/jackdawmux_runtime/src/lib.rs
+++ b/crates/jackdawmux_runtime/src/lib.rs
@@ -1,6 +1,7 @@
 //! Runtime services shared by all processes: clocks, timers, listeners for callers, metrics and
 //! logging.
 
+mod boot_clock;
 mod clock;
 mod guarded_stream;
 mod head_guard;
@@ -13,13 +14,14 @@
 mod stop_signal;
 mod timer;
 
+pub use boot_clock::BootClock;
 pub use clock::ProcessClock;
 pub use guarded_stream::GuardedStream;
 pub use head_guard::{FramingTracker, HeadError, HeadObserver};
 pub use headers::strip_hop_by_hop_headers;
 pub use listener::{CallerListener, ListenerLimits};
 pub use log_writer::{LogDrain, LogWriter, init_logging};
-pub use metrics::{MetricsError, ProcessMetrics};
+pub use metrics::{CapMetrics, MetricsError, ProcessMetrics};
 pub use read_ahead::ReadAheadFilter;
 pub use sockets::{StreamKind, configure_caller_stream, configure_stream, connect};
 pub use stop_signal::StopSignal;
--- a/crates/jackdawmux_runtime/src/metrics.rs
+++ b/crates/jackdawmux_runtime/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Prometheus metrics, served at `/metrics`.
 
+use std::collections::HashSet;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
@@ -12,6 +14,10 @@
 const LATENCY_BUCKETS_S: [f64; 14] =
     [0.000_2, 0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
 
+/// Teams that are counted by name; further ones are counted together, so that the number of series
+/// is bounded.
+const MAX_COUNTED_TEAMS: usize = 64;
+
 /// The metrics exporter could not be set up.
 #[derive(Debug, Snafu)]
 #[snafu(display("step=metrics error={reason}"))]
@@ -19,6 +25,33 @@
     reason: String,
 }
 
+/// Metrics of request caps.
+#[derive(Clone, Debug)]
+pub struct CapMetrics {
+    requests: Counter<u64>,
+    tokens: Counter<u64>,
+    datagrams: Counter<u64>,
+}
+
+impl CapMetrics {
+    /// Counts a request of a team with a cap, once it is decided.
+    pub fn count_request(&self, outcome: &'static str) {
+        self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts tokens that another instance asked this one for.
+    pub fn count_tokens(&self, outcome: &'static str, count: u64) {
+        if count > 0 {
+            self.tokens.add(count, &[KeyValue::new("outcome", outcome)]);
+        }
+    }
+
+    /// Counts a datagram about caps.
+    pub fn count_datagram(&self, kind: &'static str) {
+        self.datagrams.add(1, &[KeyValue::new("kind", kind)]);
+    }
+}
+
 /// Metrics of one instance.
 #[derive(Debug)]
 pub struct ProcessMetrics {
@@ -26,13 +59,17 @@
     // Kept because dropping the provider stops collection.
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
+    team_requests: Counter<u64>,
+    counted_teams: Mutex<HashSet<String>>,
     latency: Histogram<f64>,
     retries: Counter<u64>,
     forwarded: Counter<u64>,
     refusals: Counter<u64>,
     config_version: Gauge<u64>,
     isolated: Gauge<u64>,
+    permission_age: Gauge<f64>,
     alarms: Counter<u64>,
+    caps: CapMetrics,
 }
 
 impl ProcessMetrics {
@@ -51,16 +88,24 @@
         let meter = provider.meter("jackdawmux");
         Ok(Self {
             requests: meter.u64_counter("jackdawmux_requests").build(),
+            team_requests: meter.u64_counter("jackdawmux_team_requests").build(),
+            counted_teams: Mutex::default(),
             latency: meter
                 .f64_histogram("jackdawmux_request_seconds")
                 .with_boundaries(LATENCY_BUCKETS_S.to_vec())
                 .build(),
             retries: meter.u64_counter("jackdawmux_retries").build(),
             isolated: meter.u64_gauge("jackdawmux_isolated").build(),
+            permission_age: meter.f64_gauge("jackdawmux_permission_age_seconds").build(),
             forwarded: meter.u64_counter("jackdawmux_forwarded_requests").build(),
             refusals: meter.u64_counter("jackdawmux_refusals").build(),
             config_version: meter.u64_gauge("jackdawmux_config_version").build(),
             alarms: meter.u64_counter("jackdawmux_alarms").build(),
+            caps: CapMetrics {
+                requests: meter.u64_counter("jackdawmux_cap_requests").build(),
+                tokens: meter.u64_counter("jackdawmux_cap_tokens").build(),
+                datagrams: meter.u64_counter("jackdawmux_cap_datagrams").build(),
+            },
             registry,
             _provider: provider,
         })
@@ -76,6 +121,22 @@
         self.latency.record(latency.as_secs_f64(), &labels);
     }
 
+    /// Counts a request of a team. Only the teams that are counted first have a series of their own.
+    pub fn count_team_request(&self, team: &str, outcome: &str) {
+        let team = if self.is_counted_by_name(team) { team } else { "other" };
+        let labels =
+            [KeyValue::new("team", team.to_owned()), KeyValue::new("outcome", outcome.to_owned())];
+        self.team_requests.add(1, &labels);
+    }
+
+    fn is_counted_by_name(&self, team: &str) -> bool {
+        let mut teams = self.counted_teams.lock().unwrap_or_else(PoisonError::into_inner);
+        if teams.contains(team) {
+            return true;
+        }
+        teams.len() < MAX_COUNTED_TEAMS && teams.insert(team.to_owned())
+    }
+
     /// Counts a retry of a request to `service`.
     pub fn count_retry(&self, service: &str) {
         self.retries.add(1, &[KeyValue::new("service", service.to_owned())]);
@@ -106,11 +167,23 @@
         self.isolated.record(u64::from(is_isolated), &[]);
     }
 
+    /// Sets the time since the start of the latest read that showed the configuration in force to be
+    /// the newest.
+    pub fn set_permission_age(&self, age: Duration) {
+        self.permission_age.record(age.as_secs_f64(), &[]);
+    }
+
     /// Counts an alarm, a condition that an operator should investigate.
     pub fn count_alarm(&self, kind: &str) {
         self.alarms.add(1, &[KeyValue::new("kind", kind.to_owned())]);
     }
 
+    /// Returns the metrics of request caps.
+    #[must_use]
+    pub const fn caps(&self) -> &CapMetrics {
+        &self.caps
+    }
+
     /// Renders all metrics in the Prometheus text format.
     #[must_use]
     pub fn render(&self) -> String {
