policy, front: bound demand leaves other requests the free room; a restarted holder of caps resumes at once

Shares of requests that are not bound now follow the capacity that the bound ones leave. A process that replaces the registration of its predecessor knows that its holders are unchanged; its empty buckets fill at once. An unanswered registration of its own does not count as a predecessor. Ruled out: processor time (0.0038 cores), links, the number of requests (35,514 and 35,595 arrivals).

--- a/crates/jackdawmux_front/src/process/cap_service.rs
+++ b/crates/jackdawmux_front/src/process/cap_service.rs
@@ -102,6 +102,11 @@
         self.log_change(&record.name, change);
     }
 
+    /// This process replaced the registration of an earlier one.
+    pub(crate) fn inherit(&self) {
+        self.lock().caps.inherit(self.clock.now());
+    }
+
     /// Applies the removal of a registration.
     pub fn withdraw(&self, name: &str) {
         let change = self.lock().caps.withdraw(self.clock.now(), name);
--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -26,7 +26,7 @@
 use crate::dialect::WireDialect;
 use crate::relay::{PeerReader, RelayedSource, relay_router};
 use crate::request::{front_router, read_ahead_filter};
-use crate::source::{FleetSource, WatchTopic};
+use crate::source::{FleetSource, RegistrationReceipt, WatchTopic};
 use jackdawmux_policy::fleet::record::InstanceRecord;
 use jackdawmux_policy::fleet::relay::RelayTimes;
 
@@ -337,15 +337,22 @@
 async fn register(record: InstanceRecord, source: Arc<dyn FleetSource>, state: Arc<FrontState>) {
     loop {
         let mut backoff = INITIAL_REGISTER_BACKOFF;
-        let position = loop {
+        let receipt = loop {
             match source.register(&record).await {
-                Ok(position) => break position,
+                Ok(receipt) => break receipt,
                 Err(error) => log::warn!("event=registration-failed {error}"),
             }
             sleep(backoff.mul_f64(rand::random_range(0.5..1.0))).await;
             backoff = (backoff * 2).min(MAX_REGISTER_BACKOFF);
         };
-        log::info!("event=registered instance={} at={position}", record.name);
+        let RegistrationReceipt { position, is_replacement } = receipt;
+        log::info!(
+            "event=registered instance={} at={position} is_replacement={is_replacement}",
+            record.name
+        );
+        if is_replacement {
+            state.cap_service.inherit();
+        }
         *state.registered_at() = Some(position);
         state.connectivity.observe_era(source.era());
         state.registration_lost.notified().await;
--- a/crates/jackdawmux_front/src/relay/source.rs
+++ b/crates/jackdawmux_front/src/relay/source.rs
@@ -17,8 +17,8 @@
 };
 use crate::process::FrontState;
 use crate::source::{
-    FleetSource, ListFreshness, ReadEvidence, SourceError, SourceErrorKind, SourceFuture,
-    UpdateBatch,
+    FleetSource, ListFreshness, ReadEvidence, RegistrationReceipt, SourceError, SourceErrorKind,
+    SourceFuture, UpdateBatch,
 };
 
 /// Longest wait, after the start, to learn whether the group has a relay.
@@ -343,7 +343,7 @@
     fn register<'call>(
         &'call self,
         record: &'call InstanceRecord,
-    ) -> SourceFuture<'call, SourcePosition> {
+    ) -> SourceFuture<'call, RegistrationReceipt> {
         self.source.register(record)
     }
 
--- a/crates/jackdawmux_front/src/source.rs
+++ b/crates/jackdawmux_front/src/source.rs
@@ -145,6 +145,15 @@
     pub reason: String,
 }
 
+/// Result of a registration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RegistrationReceipt {
+    /// Position at which the registration was written; lists from that position on contain it.
+    pub position: SourcePosition,
+    /// Whether it replaced that of an earlier process of the same name.
+    pub is_replacement: bool,
+}
+
 /// Future of a call to the source.
 pub type SourceFuture<'call, T> =
     Pin<Box<dyn Future<Output = Result<T, SourceError>> + Send + 'call>>;
@@ -170,12 +179,11 @@
     /// Checks cheaply whether the source answers calls; the data that it replies with may be old.
     fn check(&self) -> SourceFuture<'_, ()>;
 
-    /// Registers an instance, or replaces its registration. Returns the position at which it was
-    /// written; lists from that position on contain it.
+    /// Registers an instance, or replaces its registration.
     fn register<'call>(
         &'call self,
         record: &'call InstanceRecord,
-    ) -> SourceFuture<'call, SourcePosition>;
+    ) -> SourceFuture<'call, RegistrationReceipt>;
 
     /// Removes an instance's registration.
     fn withdraw<'call>(&'call self, instance: &'call str) -> SourceFuture<'call, ()>;
--- a/crates/jackdawmux_native/src/source.rs
+++ b/crates/jackdawmux_native/src/source.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jackdawmux_front::source::SourceFuture;
+use jackdawmux_front::source::{RegistrationReceipt, SourceFuture};
 use jackdawmux_front::{
     FleetSource, FleetUpdate, ListFreshness, ReadEvidence, SourceError, SourceErrorKind,
     SourcePosition, UpdateBatch, WatchTopic,
@@ -147,10 +147,12 @@
     fn register<'call>(
         &'call self,
         record: &'call InstanceRecord,
-    ) -> SourceFuture<'call, SourcePosition> {
+    ) -> SourceFuture<'call, RegistrationReceipt> {
         Box::pin(async move {
             let updated = update_table(self.store.as_ref(), |table| table.insert(record)).await;
-            updated.map(SourcePosition::first_era).map_err(|error| self.update_error(error))
+            let version = updated.map_err(|error| self.update_error(error))?;
+            let position = SourcePosition::first_era(version);
+            Ok(RegistrationReceipt { position, is_replacement: false })
         })
     }
 
--- a/crates/jackdawmux_policy/src/fleet/cap/holder.rs
+++ b/crates/jackdawmux_policy/src/fleet/cap/holder.rs
@@ -129,6 +129,14 @@
         }
     }
 
+    /// All buckets fill from now on, as they did in an earlier process of this instance.
+    pub(super) fn resume(&mut self, now: PolicyTime) {
+        self.quiet_until = self.quiet_until.min(now);
+        for bucket in self.buckets.values_mut() {
+            bucket.filled_at = bucket.filled_at.min(now);
+        }
+    }
+
     /// Sets the number of holders of a team. An increase applies at once, a decrease only when the
     /// holder that left cannot grant any more.
     pub(super) fn set_divisor(&mut self, now: PolicyTime, count: u32) {
--- a/crates/jackdawmux_policy/src/fleet/cap/state.rs
+++ b/crates/jackdawmux_policy/src/fleet/cap/state.rs
@@ -44,6 +44,8 @@
     client: CapClient,
     /// Start of the latest read that confirmed the list of instances.
     proven_at: Option<PolicyTime>,
+    /// When this process took over the registration of an earlier one.
+    inherited_at: Option<PolicyTime>,
 }
 
 impl CapState {
@@ -57,6 +59,7 @@
             holder: CapHolder::default(),
             client: CapClient::default(),
             proven_at: None,
+            inherited_at: None,
         }
     }
 
@@ -82,7 +85,7 @@
             self.remove(now, id);
         }
         let change = self.members.insert(id, region, address);
-        if change == MemberChange::Joined && id == self.members.own {
+        if change == MemberChange::Joined && id == self.members.own && !self.is_heir(now) {
             self.holder.start(now);
         }
         self.holder.set_divisor(now, self.members.region_count());
@@ -117,11 +120,22 @@
                 self.remove(now, id);
             }
         }
-        if has_gap {
+        if has_gap && !self.is_heir(now) {
             self.holder.restart_all(now + MAX_PROOF_AGE);
         }
     }
 
+    /// This process replaced the registration of an earlier one of its name, which has ended. The
+    /// holders of the caps are the same as before, so the empty buckets fill at once.
+    pub fn inherit(&mut self, now: PolicyTime) {
+        self.inherited_at = Some(now);
+        self.holder.resume(now);
+    }
+
+    fn is_heir(&self, now: PolicyTime) -> bool {
+        self.inherited_at.is_some_and(|at| now.since(at) < TAKEOVER_DELAY)
+    }
+
     /// States the age of the read that confirmed the list of instances; none if there was none.
     pub fn observe_proof(&mut self, now: PolicyTime, age: Option<Duration>) {
         self.proven_at = age.map(|age| now.before(age));
--- a/crates/jackdawmux_policy/src/fleet/choice.rs
+++ b/crates/jackdawmux_policy/src/fleet/choice.rs
@@ -103,6 +103,12 @@
 }
 
 impl EndpointQuery<'_> {
+    /// Returns whether the team of the request binds it to certain regions.
+    #[must_use]
+    pub fn is_bound(&self) -> bool {
+        self.team.is_some_and(|team| !team.homes.is_empty())
+    }
+
     /// Returns the priority of the request; 0 is the highest.
     #[must_use]
     pub fn priority(&self) -> u32 {
--- a/crates/jackdawmux_policy/src/fleet/mod.rs
+++ b/crates/jackdawmux_policy/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 pub mod expected_wait;
 pub mod forwarding;
 pub mod freshness;
+pub mod homed_load;
 mod notices;
 pub mod outlier;
 pub mod permission;
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -29,6 +29,7 @@
     EjectionCounts, EndpointState, RecentObjects, mean_utilisation, typical_latency,
 };
 use super::expected_wait::WorkTime;
+use super::homed_load::HomedLoad;
 use super::notices::{EndpointIncarnation, NoticeRegister};
 use super::outlier::AttemptOutcome;
 use super::reachability::{Reachability, ReachabilityTracker};
@@ -78,6 +79,7 @@
     shift: ShareShift,
     /// Mean of the average loads that the endpoints report, as a multiple of their slots.
     utilisation: f64,
+    homed: HomedLoad,
 }
 
 /// An outage of the update source as seen by this instance.
@@ -270,6 +272,7 @@
         }
         if !query.is_retry {
             service.retries.count_request(now, self.bounds.retry_window);
+            service.homed.record(now, service.endpoints[index].region, query.is_bound());
         }
         let state = &mut service.endpoints[index];
         let is_known = self.recent.contains(query.object, state.key);
@@ -416,7 +419,7 @@
             }
             capacity[state.region] += state.slots();
         }
-        let shares = self.shares(query.service, &capacity);
+        let shares = self.shares(query, &capacity);
         let mut best: SmallVec<[(f64, usize); MAX_CANDIDATES]> = SmallVec::new();
         for (index, state) in service.endpoints.iter().enumerate() {
             let is_allowed =
@@ -479,10 +482,17 @@
 
     /// Returns the shares of this instance's demand by region. The extra entry for unknown failure
     /// domains has a share only if no region has any capacity.
-    fn shares(&self, service: &str, capacity: &[f64]) -> RegionShares {
+    fn shares(&self, query: &EndpointQuery<'_>, capacity: &[f64]) -> RegionShares {
         let known = &capacity[..self.region_names.len()];
-        let mut shares = region_shares(self.own_region, known);
+        let service = query.service;
         let service_state = self.services.get(service);
+        let free = match service_state {
+            Some(state) if !query.is_bound() => {
+                state.homed.free_capacity(known, known.iter().sum())
+            }
+            _ => known.into(),
+        };
+        let mut shares = region_shares(self.own_region, &free);
         if let Some(state) = service_state.filter(|_| self.is_steered_by_wait(service)) {
             shares = state.shift.apply(&shares, known);
         }
--- a/crates/jackdawmux_policy/src/fleet/steering/demand.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering/demand.rs
@@ -68,7 +68,8 @@
                 continue;
             };
             let capacity = self.region_capacity(now, service);
-            let even = region_shares(self.own_region, &capacity);
+            let free = service.homed.free_capacity(&capacity, capacity.iter().sum());
+            let even = region_shares(self.own_region, &free);
             let Some(service) = self.services.get_mut(&name) else {
                 continue;
             };
@@ -77,7 +78,13 @@
             let demand = service.demand.by_region(now, self.own_region, &self.region_members);
             let target = demand.map_or_else(
                 || even.clone(),
-                |demand| demand_shares(self.own_region, &capacity, &demand),
+                |demand| {
+                    // Bound requests are served in their homes, whatever the shares are.
+                    let free = service.homed.free_capacity(&capacity, demand.iter().sum());
+                    let unbound = 1.0 - service.homed.total_share();
+                    let demand: RegionShares = demand.iter().map(|sum| sum * unbound).collect();
+                    demand_shares(self.own_region, &free, &demand)
+                },
             );
             service.shift.move_towards(now, &even, &target, &capacity);
         }
