front, runtime: bound on responses held for slow callers

Cause: a buffered response (up to 512 KiB) to a caller that does not read was held without a bound on the total and without an end; larger ones already are read as the caller reads and end at the deadline. All buffered responses together hold 32 MiB at most; beyond that a response is streamed from its first 32 KiB on. A connection whose caller reads nothing for 5 s ends. The limits are chosen, not measured. Also: a renewed proof wakes the readers of a relay only in deployments with teams.

--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -19,6 +19,7 @@
 use super::team_permission::TeamPermission;
 use crate::dialect::WireDialect;
 use crate::relay::RelayHub;
+use crate::request::HeldBudget;
 use crate::source::{SourcePosition, WatchTopic};
 use crate::upstream::UpstreamPool;
 
@@ -89,6 +90,8 @@
     pub(crate) later_config_at: watch::Sender<String>,
     /// Name of the peer that is asked what it knows from before a restore of the source.
     pub(crate) restore_facts_at: watch::Sender<String>,
+    /// Bytes of responses that wait for their callers.
+    pub(crate) held: HeldBudget,
     /// Age of the configuration in force and of the list of instances.
     pub(crate) permission: TeamPermission,
     steering: Mutex<FleetSteering>,
@@ -139,6 +142,7 @@
             heartbeat_due: Notify::new(),
             later_config_at: watch::Sender::default(),
             restore_facts_at: watch::Sender::default(),
+            held: HeldBudget::default(),
             permission,
             steering: Mutex::new(steering),
             config_freshness: Mutex::default(),
--- a/crates/jackdawmux_front/src/process/team_permission.rs
+++ b/crates/jackdawmux_front/src/process/team_permission.rs
@@ -116,10 +116,12 @@
         self.facts().tracker.record_peer(version);
     }
 
-    /// Records a reply whose updates are in force. Returns whether it renewed a proof.
+    /// Records a reply whose updates are in force. Returns whether it renewed a proof that readers of
+    /// a relay wait for.
     pub(super) fn record_reply(&self, reply: AppliedReply, in_force: u64) -> bool {
         let now = self.now();
         let mut facts = self.facts();
+        let has_bounds = facts.bounds.is_some();
         let AppliedReply { topic, position, evidence, read } = reply;
         facts.tracker.observe_position(now, position);
         match topic {
@@ -136,7 +138,7 @@
                         }
                     }
                 }
-                facts.tracker.proof() != before
+                has_bounds && facts.tracker.proof() != before
             }
             WatchTopic::Instances => {
                 let before = facts.instances_read_at;
@@ -148,7 +150,7 @@
                     ReadEvidence::Relay(proof) => proof.map(|proof| proof.started),
                 };
                 facts.instances_read_at = before.max(started);
-                facts.instances_read_at > before
+                has_bounds && facts.instances_read_at > before
             }
             WatchTopic::Endpoints | WatchTopic::Evacuations => false,
         }
--- a/crates/jackdawmux_front/src/request/body.rs
+++ b/crates/jackdawmux_front/src/request/body.rs
@@ -10,10 +10,16 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use super::held_bytes::HeldBudget;
+
 /// Largest body that is buffered completely, in bytes. A buffered request can be sent again, and a
 /// buffered response never reaches the caller truncated.
 const MAX_BUFFERED_BYTES: usize = 512 * 1024;
 
+/// Size up to which a response does not count towards what is held for slow callers, in bytes. A
+/// connection holds about as much anyway.
+const MAX_UNCOUNTED_BYTES: usize = 32 * 1024;
+
 /// Why a request's body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BodyError {
@@ -159,19 +165,26 @@
     Partial(Bytes),
 }
 
-/// Reads a response's body, up to the size that is buffered.
-pub(crate) async fn buffer_response(incoming: &mut Incoming) -> Result<ResponseBody, hyper::Error> {
+/// Reads a response's body, up to the size that is buffered. Less is buffered while `budget` is used
+/// up: the rest is then read only as fast as the caller reads.
+pub(crate) async fn buffer_response(
+    incoming: &mut Incoming,
+    budget: &HeldBudget,
+) -> Result<ResponseBody, hyper::Error> {
     let mut buffered = BytesMut::new();
+    let mut share = budget.share();
     while let Some(frame) = incoming.frame().await {
         if let Ok(data) = frame?.into_data() {
-            if buffered.is_empty() && incoming.is_end_stream() {
+            let is_small = data.len() <= MAX_UNCOUNTED_BYTES;
+            if is_small && buffered.is_empty() && incoming.is_end_stream() {
                 return Ok(ResponseBody::Buffered(data));
             }
             buffered.extend_from_slice(&data);
         }
-        if buffered.len() > MAX_BUFFERED_BYTES {
-            return Ok(ResponseBody::Partial(buffered.freeze()));
+        let is_held = buffered.len() <= MAX_UNCOUNTED_BYTES || share.grow_to(buffered.len());
+        if !is_held || buffered.len() > MAX_BUFFERED_BYTES {
+            return Ok(ResponseBody::Partial(share.hold(buffered.freeze())));
         }
     }
-    Ok(ResponseBody::Buffered(buffered.freeze()))
+    Ok(ResponseBody::Buffered(share.hold(buffered.freeze())))
 }
--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -438,7 +438,7 @@
         // Set again from the body that is sent to the caller.
         head.headers.remove(CONTENT_LENGTH);
         let is_failure = is_endpoint_failure(head.status);
-        match buffer_response(&mut incoming).await {
+        match buffer_response(&mut incoming, &self.state.held).await {
             Ok(ResponseBody::Buffered(bytes)) => {
                 let response = Response::from_parts(head, Body::from(bytes));
                 if !is_failure {
--- a/crates/jackdawmux_front/src/request/mod.rs
+++ b/crates/jackdawmux_front/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod forward;
 mod forwarded;
 mod guard;
+mod held_bytes;
 mod hop;
 mod peer_attempt;
 mod plan;
@@ -13,4 +14,5 @@
 mod streamed_response;
 
 pub(crate) use forwarded::serve_forwarded;
+pub use held_bytes::{HeldBudget, HeldShare};
 pub(crate) use serve::{front_router, read_ahead_filter};
--- a/crates/jackdawmux_runtime/src/guarded_stream.rs
+++ b/crates/jackdawmux_runtime/src/guarded_stream.rs
@@ -15,6 +15,9 @@
 
 /// Size of a read from the socket, in bytes.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
+/// Time after which a connection ends whose caller reads nothing of its response. It exceeds the
+/// deadlines of requests, after which the response is of no use.
+const MAX_WRITE_STALL: Duration = Duration::from_secs(5);
 /// Passed to the library in place of a rejected header section. It holds no request line, so the
 /// library responds with 400 and closes the connection.
 const REJECTED_HEAD: &[u8] = b"\0\r\n\r\n";
@@ -32,6 +35,8 @@
     is_finished: bool,
     header_timeout: Duration,
     header_deadline: Option<Pin<Box<Sleep>>>,
+    /// When the connection fails because the caller has read nothing; none while it reads.
+    write_deadline: Option<Pin<Box<Sleep>>>,
 }
 
 impl<S> GuardedStream<S> {
@@ -47,6 +52,7 @@
             is_finished: false,
             header_timeout,
             header_deadline: None,
+            write_deadline: None,
         }
     }
 
@@ -112,6 +118,23 @@
         self.starts.extend(starts.zip(heads..));
     }
 
+    /// Passes on the result of a write. Fails when the caller has read nothing for too long.
+    fn limit_stall(
+        &mut self,
+        context: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.write_deadline = None;
+            return written;
+        }
+        let deadline = Instant::now() + MAX_WRITE_STALL;
+        let sleep = self.write_deadline.get_or_insert_with(|| Box::pin(sleep_until(deadline)));
+        sleep.as_mut().poll(context).map(|()| {
+            Err(io::Error::new(io::ErrorKind::TimedOut, "the caller does not read its response"))
+        })
+    }
+
     /// Fails when a header section has been incomplete for longer than the header timeout.
     fn poll_header_deadline(&mut self, context: &mut Context<'_>) -> io::Result<()> {
         if !self.tracker.is_in_head() {
@@ -178,7 +201,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
+        let written = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.limit_stall(context, written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -194,7 +218,8 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.inner).poll_write_vectored(context, slices);
+        self.limit_stall(context, written)
     }
 
     fn is_write_vectored(&self) -> bool {
