--- a/crates/jackdawmux_policy/tests/caps_model.rs
+++ b/crates/jackdawmux_policy/tests/caps_model.rs
@@ -153,7 +153,13 @@
             }
             2 => self.instances[index].is_running = false,
             3 | 4 => self.instances[index] = self.start(index),
-            5 => self.withdraw(index),
+            // A running instance is removed from the list, and may be cut off from it.
+            5 => {
+                self.withdraw(index);
+                if self.rng.random_bool(0.5) {
+                    self.instances[index].cut_until = self.now + span;
+                }
+            }
             6 => self.instances[index].cut_until = self.now + span,
             7 => self.instances[index].paused_until = self.now + span / 3,
             _ => {
