--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -10,7 +10,6 @@
 use hyper::body::Incoming;
 use jackdawmux_policy::clock::PolicyTime;
 use jackdawmux_policy::fleet::backoff::MAX_PAUSE;
-use jackdawmux_policy::fleet::cap::CapRefusal;
 use jackdawmux_policy::fleet::choice::{
     ConnectedOnly, EndpointChoice, EndpointKey, EndpointNotice, EndpointQuery, LimitStatement,
     NoticeEffect,
@@ -44,6 +43,8 @@
 const SPARE_SLOTS_RETRY_AFTER: Duration = Duration::from_millis(5);
 /// Bytes of the body that are included in a request's digest.
 const MAX_DIGEST_BODY_BYTES: usize = 4 * 1024;
+/// Retry-after delay when the token of a request cap expired before it could be used.
+const EXPIRED_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Minimum remaining time for which another attempt is worthwhile.
 const MIN_RETRY_TIME_LEFT: Duration = Duration::from_millis(40);
 
@@ -518,11 +519,9 @@
     let Some(team) = access.team() else {
         return Ok(CapPermit::unlimited());
     };
-    let acquired = state.caps().acquire(team, deadline).await;
-    acquired.map_err(|refusal| match refusal {
-        CapRefusal::OverCap { retry_after } => FrontRefusal::OverCap(retry_after),
-        CapRefusal::Unknown { retry_after } => FrontRefusal::CapUnknown(retry_after),
-    })
+    let permit = state.caps().acquire(team, deadline).await?;
+    // A process that was paused meanwhile may hold a token that has expired.
+    if permit.is_valid() { Ok(permit) } else { Err(FrontRefusal::CapUnknown(EXPIRED_RETRY_AFTER)) }
 }
 
 /// Whether a status reports a failure of the endpoint rather than an error in the request.
