--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -259,7 +259,9 @@
             connected,
         };
         let now = self.state.clock.now();
-        self.state.steering().choose(now, &query).map_err(FrontRefusal::NotChosen)
+        let has_idle = |key| self.state.pool.has_idle(key, self.plan.is_at_most_once());
+        let mut steering = self.state.steering();
+        steering.choose_connected(now, &query, &has_idle).map_err(FrontRefusal::NotChosen)
     }
 
     /// Makes one attempt at an endpoint and records what follows from its result.
--- a/crates/jackdawmux_front/src/upstream/pool.rs
+++ b/crates/jackdawmux_front/src/upstream/pool.rs
@@ -104,6 +104,14 @@
         None
     }
 
+    /// Returns whether there is an idle connection that is recent enough for a request.
+    pub(crate) fn has_idle(&self, endpoint: EndpointKey, is_at_most_once: bool) -> bool {
+        let bound = max_idle(is_at_most_once);
+        let idle = self.lock();
+        let connections = idle.get(&endpoint);
+        connections.is_some_and(|connections| connections.iter().any(|idle| idle.is_usable(bound)))
+    }
+
     /// Returns the endpoints to which there are idle connections that are recent enough for a request.
     pub(crate) fn idle_endpoints(&self, is_at_most_once: bool) -> Vec<EndpointKey> {
         let bound = max_idle(is_at_most_once);
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -232,12 +232,26 @@
         &mut self,
         now: PolicyTime,
         query: &EndpointQuery<'_>,
+    ) -> Result<EndpointChoice, ChoiceRefusal> {
+        self.choose_connected(now, query, &|_| false)
+    }
+
+    /// Chooses an endpoint like [`FleetSteering::choose`]. Of endpoints that are equal in expected time,
+    /// it prefers one with an idle connection, as told by `has_idle`.
+    ///
+    /// # Errors
+    /// As [`FleetSteering::choose`].
+    pub fn choose_connected(
+        &mut self,
+        now: PolicyTime,
+        query: &EndpointQuery<'_>,
+        has_idle: &dyn Fn(EndpointKey) -> bool,
     ) -> Result<EndpointChoice, ChoiceRefusal> {
         let candidates = self.candidates(now, query);
         if candidates.is_empty() {
             return Err(self.refuse_without_candidates(now, query));
         }
-        let (rank, index) = self.pick(now, query, &candidates)?;
+        let (rank, index) = self.pick(now, query, &candidates, has_idle)?;
         let instances = self.instances.len();
         let is_by_wait = self.is_steered_by_wait(query.service);
         let expected_wait =
@@ -479,10 +493,11 @@
         now: PolicyTime,
         query: &EndpointQuery<'_>,
         candidates: &[usize],
+        has_idle: &dyn Fn(EndpointKey) -> bool,
     ) -> Result<(usize, usize), ChoiceRefusal> {
         let is_high = query.priority() <= LOWEST_HIGH_PRIORITY;
         let limit = if is_high { MAX_LOAD_HIGH_PRIORITY } else { MAX_LOAD_LOW_PRIORITY };
-        if let Some(member) = self.pick_by_wait(now, query, candidates, limit) {
+        if let Some(member) = self.pick_by_wait(now, query, candidates, limit, has_idle) {
             return Ok(member);
         }
         let mut ranked = candidates.iter().copied().enumerate();
@@ -518,8 +533,9 @@
         query: &EndpointQuery<'_>,
         candidates: &[usize],
         limit: f64,
+        has_idle: &dyn Fn(EndpointKey) -> bool,
     ) -> Option<(usize, usize)> {
-        let set = self.endpoint_set(now, query, candidates)?;
+        let set = self.endpoint_set(now, query, candidates, has_idle)?;
         set.first().filter(|first| first.rank == 0)?;
         let member = select_member(&set)?;
         (member.load < limit).then_some((member.rank, member.index))
--- a/crates/jackdawmux_policy/src/fleet/steering/pressure.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering/pressure.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::super::choice::{EndpointChoice, EndpointQuery};
+use super::super::choice::{EndpointChoice, EndpointKey, EndpointQuery};
 use super::super::endpoint_set::{EndpointSet, SetMember};
 use super::super::endpoint_state::EndpointState;
 use super::FleetSteering;
@@ -63,6 +63,7 @@
         now: PolicyTime,
         query: &EndpointQuery<'_>,
         candidates: &[usize],
+        has_idle: &dyn Fn(EndpointKey) -> bool,
     ) -> Option<EndpointSet> {
         let service = self.services.get(query.service)?;
         service.work.usual_ms().filter(|_| self.is_steered_by_wait(query.service))?;
@@ -78,7 +79,7 @@
             };
             let time = work.mul_add(state.work_factor.at(now), wait);
             let load = state.held_requests(now) / state.slots();
-            SetMember { rank, index, wait, time, load, is_connected: false }
+            SetMember { rank, index, wait, time, load, is_connected: has_idle(state.key) }
         };
         let states = candidates
             .iter()
--- a/crates/jackdawmux_policy/tests/support/warm_fleet.rs
+++ b/crates/jackdawmux_policy/tests/support/warm_fleet.rs
@@ -143,6 +143,9 @@
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     order: u64,
     choices: Vec<EndpointChoice>,
+    /// When connections of a front to an endpoint became idle.
+    idle: HashMap<(usize, EndpointKey), Vec<u64>>,
+    pub opened: u32,
     rng: StdRng,
     route: RouteRecord,
     pub seconds: Vec<SecondCount>,
@@ -169,6 +172,8 @@
             events: BinaryHeap::new(),
             order: 0,
             choices: Vec::new(),
+            idle: HashMap::new(),
+            opened: 0,
             rng: StdRng::seed_from_u64(seed),
             route: route(),
             seconds: Vec::new(),
@@ -268,11 +273,18 @@
             is_retry: false,
             connected: None,
         };
-        let Ok(choice) = self.fronts[front].choose(PolicyTime(at), &query) else {
+        let is_recent = |since: &u64| at - since < 4_000_000;
+        let has_idle = |key| {
+            self.idle.get(&(front, key)).is_some_and(|idle| idle.last().is_some_and(is_recent))
+        };
+        let chosen = self.fronts[front].choose_connected(PolicyTime(at), &query, &has_idle);
+        let Ok(choice) = chosen else {
             self.refuse(at, object, requested_at);
             return;
         };
         let index = self.keys[&choice.key];
+        let idle = self.idle.entry((front, choice.key)).or_default();
+        self.opened += u32::from(!idle.pop().as_ref().is_some_and(is_recent));
         let is_warm = choice.is_warm;
         let job =
             Job { object, front, requested_at, sent_at: at, is_warm, choice: self.choices.len() };
@@ -343,6 +355,7 @@
         let outcome =
             AttemptOutcome::Answered(job.is_warm.then(|| Duration::from_micros(at - job.sent_at)));
         self.fronts[job.front].finish(PolicyTime(at), SERVICE, key, outcome, Some(report));
+        self.idle.entry((job.front, key)).or_default().push(at);
         let sent_for = Duration::from_micros(at - job.sent_at);
         let choice = &self.choices[job.choice];
         self.fronts[job.front].record_answer(PolicyTime(at), SERVICE, choice, sent_for);
