front: log the shares of the regions and the usual work time

Cause: operators could not see how requests are steered under load. One line in 10 s for each service that is steered by expected wait; none for others.

--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -38,17 +38,22 @@
 /// change at slightly different times.
 const BEHIND_GRACE: Duration = Duration::from_millis(500);
 
+/// Interval between log lines with the shares of the regions.
+const SHARES_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// The only task that applies updates to the fleet state.
 #[derive(Actor, Debug)]
 pub(crate) struct StateActor {
     pub(super) state: Arc<FrontState>,
     /// When a peer was last asked what it knows from before a restore.
     pub(super) restore_asked_at: Option<PolicyTime>,
+    /// When the shares of the regions were last logged.
+    shares_logged_at: Option<PolicyTime>,
 }
 
 impl StateActor {
     pub(crate) fn new(state: Arc<FrontState>) -> Self {
-        Self { state, restore_asked_at: None }
+        Self { state, restore_asked_at: None, shares_logged_at: None }
     }
 }
 
@@ -166,6 +171,7 @@
         self.state.pool.close_expired();
         self.state.peers.close_expired();
         self.state.check_reachability(now);
+        self.log_shares(now);
         if self.state.steering().take_settled(now) {
             log::info!("event=restore-settled");
             self.state.is_behind.iter().for_each(Notify::notify_one);
@@ -192,6 +198,22 @@
 }
 
 impl StateActor {
+    /// Logs the shares of the regions from time to time, for services that are steered by expected wait.
+    fn log_shares(&mut self, now: PolicyTime) {
+        if self.shares_logged_at.is_some_and(|at| now.since(at) < SHARES_LOG_INTERVAL) {
+            return;
+        }
+        self.shares_logged_at = Some(now);
+        for (service, shares, work) in self.state.steering().steered_services(now) {
+            let shares: Vec<String> = shares.iter().map(|share| format!("{share:.2}")).collect();
+            log::info!(
+                "event=region-shares service={service} shares={} usual_work_ms={}",
+                shares.join(","),
+                work.unwrap_or_default().as_millis()
+            );
+        }
+    }
+
     fn apply_list(&self, topic: WatchTopic, batch: UpdateBatch) {
         let now = self.state.clock.now();
         let position = batch.position;
--- a/crates/jackdawmux_policy/src/fleet/steering/demand.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering/demand.rs
@@ -1,5 +1,7 @@
 //! Follows the demand of each region for services that are steered by expected wait.
 
+use std::time::Duration;
+
 use super::super::region_demand::{DemandStatements, MAX_STATEMENTS, service_hash};
 use super::super::region_share::{RegionShares, demand_shares, region_shares};
 use super::{FleetSteering, ServiceState};
@@ -50,13 +52,17 @@
         }
     }
 
-    /// Returns the share of this region's demand for a service that each region serves, for logs.
+    /// Returns the services that are steered by expected wait, each with the share of this region's
+    /// demand that each region serves and its usual work time, for logs.
     #[must_use]
-    pub fn service_shares(&self, now: PolicyTime, service: &str) -> Option<RegionShares> {
-        let service = self.services.get(service)?;
-        let capacity = self.region_capacity(now, service);
-        let even = region_shares(self.own_region, &capacity);
-        Some(service.shift.apply(&even, &capacity))
+    pub fn steered_services(&self, now: PolicyTime) -> Vec<(&str, RegionShares, Option<Duration>)> {
+        let steered = self.services.iter().filter(|(name, _)| self.is_steered_by_wait(name));
+        let described = steered.map(|(name, service)| {
+            let capacity = self.region_capacity(now, service);
+            let even = region_shares(self.own_region, &capacity);
+            (name.as_str(), service.shift.apply(&even, &capacity), self.usual_work(name))
+        });
+        described.collect()
     }
 
     /// Updates the demand for each service and moves its shares.
