--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -10,7 +10,6 @@
 use hyper::body::Incoming;
 use jackdawmux_policy::clock::PolicyTime;
 use jackdawmux_policy::fleet::backoff::MAX_PAUSE;
-use jackdawmux_policy::fleet::cap::CapRefusal;
 use jackdawmux_policy::fleet::choice::{
     ConnectedOnly, EndpointChoice, EndpointKey, EndpointNotice, EndpointQuery, LimitStatement,
     NoticeEffect,
@@ -44,6 +43,8 @@
 const SPARE_SLOTS_RETRY_AFTER: Duration = Duration::from_millis(5);
 /// Bytes of the body that are included in a request's digest.
 const MAX_DIGEST_BODY_BYTES: usize = 4 * 1024;
+/// Retry-after delay when the token of a request cap expired before it could be used.
+const EXPIRED_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Minimum remaining time for which another attempt is worthwhile.
 const MIN_RETRY_TIME_LEFT: Duration = Duration::from_millis(40);
 
@@ -298,7 +299,9 @@
             deadline: Some(self.plan.deadline),
         };
         let now = self.state.clock.now();
-        self.state.steering().choose(now, &query).map_err(FrontRefusal::NotChosen)
+        let has_idle = |key| self.state.pool.has_idle(key, self.plan.is_at_most_once());
+        let mut steering = self.state.steering();
+        steering.choose_connected(now, &query, &has_idle).map_err(FrontRefusal::NotChosen)
     }
 
     /// Makes one attempt at an endpoint and records what follows from its result.
@@ -481,7 +484,7 @@
         // Set again from the body that is sent to the caller.
         head.headers.remove(CONTENT_LENGTH);
         let is_failure = is_endpoint_failure(head.status);
-        match buffer_response(&mut incoming).await {
+        match buffer_response(&mut incoming, &self.state.held).await {
             Ok(ResponseBody::Buffered(bytes)) => {
                 let response = Response::from_parts(head, Body::from(bytes));
                 if !is_failure {
@@ -519,11 +522,9 @@
     let Some(team) = access.team() else {
         return Ok(CapPermit::unlimited());
     };
-    let acquired = state.caps().acquire(team, deadline).await;
-    acquired.map_err(|refusal| match refusal {
-        CapRefusal::OverCap { retry_after } => FrontRefusal::OverCap(retry_after),
-        CapRefusal::Unknown { retry_after } => FrontRefusal::CapUnknown(retry_after),
-    })
+    let permit = state.caps().acquire(team, deadline).await?;
+    // A process that was paused meanwhile may hold a token that has expired.
+    if permit.is_valid() { Ok(permit) } else { Err(FrontRefusal::CapUnknown(EXPIRED_RETRY_AFTER)) }
 }
 
 /// Whether a status reports a failure of the endpoint rather than an error in the request.
--- a/crates/jackdawmux_policy/src/fleet/mod.rs
+++ b/crates/jackdawmux_policy/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 pub mod fair_share;
 pub mod forwarding;
 pub mod freshness;
+pub mod homed_load;
 mod notices;
 pub mod outlier;
 pub mod permission;
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -32,6 +32,7 @@
 };
 use super::expected_wait::WorkTime;
 use super::fair_share::FairShare;
+use super::homed_load::HomedLoad;
 use super::notices::{EndpointIncarnation, NoticeRegister};
 use super::outlier::AttemptOutcome;
 use super::reachability::{Reachability, ReachabilityTracker};
@@ -85,6 +86,7 @@
     shift: ShareShift,
     /// Mean of the average loads that the endpoints report, as a multiple of their slots.
     utilisation: f64,
+    homed: HomedLoad,
 }
 
 /// An outage of the update source as seen by this instance.
@@ -261,12 +263,26 @@
         &mut self,
         now: PolicyTime,
         query: &EndpointQuery<'_>,
+    ) -> Result<EndpointChoice, ChoiceRefusal> {
+        self.choose_connected(now, query, &|_| false)
+    }
+
+    /// Chooses an endpoint like [`FleetSteering::choose`]. Of endpoints that are equal in expected time,
+    /// it prefers one with an idle connection, as told by `has_idle`.
+    ///
+    /// # Errors
+    /// As [`FleetSteering::choose`].
+    pub fn choose_connected(
+        &mut self,
+        now: PolicyTime,
+        query: &EndpointQuery<'_>,
+        has_idle: &dyn Fn(EndpointKey) -> bool,
     ) -> Result<EndpointChoice, ChoiceRefusal> {
         let candidates = self.candidates(now, query);
         if candidates.is_empty() {
             return Err(self.refuse_without_candidates(now, query));
         }
-        let (rank, index) = self.pick(now, query, &candidates)?;
+        let (rank, index) = self.pick(now, query, &candidates, has_idle)?;
         self.admit(now, query, index)?;
         let instances = self.instances.len();
         let is_by_wait = self.is_steered_by_wait(query.service);
@@ -278,6 +294,7 @@
         }
         if !query.is_retry {
             service.retries.count_request(now, self.bounds.retry_window);
+            service.homed.record(now, service.endpoints[index].region, query.is_bound());
         }
         let share = self.start_share(query);
         let service = self.services.entry(query.service.to_owned()).or_default();
@@ -427,7 +444,7 @@
             }
             capacity[state.region] += state.slots();
         }
-        let shares = self.shares(query.service, &capacity);
+        let shares = self.shares(query, &capacity);
         let mut best: SmallVec<[(f64, usize); MAX_CANDIDATES]> = SmallVec::new();
         for (index, state) in service.endpoints.iter().enumerate() {
             let is_allowed =
@@ -490,10 +507,17 @@
 
     /// Returns the shares of this instance's demand by region. The extra entry for unknown failure
     /// domains has a share only if no region has any capacity.
-    fn shares(&self, service: &str, capacity: &[f64]) -> RegionShares {
+    fn shares(&self, query: &EndpointQuery<'_>, capacity: &[f64]) -> RegionShares {
         let known = &capacity[..self.region_names.len()];
-        let mut shares = region_shares(self.own_region, known);
+        let service = query.service;
         let service_state = self.services.get(service);
+        let free = match service_state {
+            Some(state) if !query.is_bound() => {
+                state.homed.free_capacity(known, known.iter().sum())
+            }
+            _ => known.into(),
+        };
+        let mut shares = region_shares(self.own_region, &free);
         if let Some(state) = service_state.filter(|_| self.is_steered_by_wait(service)) {
             shares = state.shift.apply(&shares, known);
         }
@@ -513,10 +537,11 @@
         now: PolicyTime,
         query: &EndpointQuery<'_>,
         candidates: &[usize],
+        has_idle: &dyn Fn(EndpointKey) -> bool,
     ) -> Result<(usize, usize), ChoiceRefusal> {
         let is_high = query.priority() <= LOWEST_HIGH_PRIORITY;
         let limit = if is_high { MAX_LOAD_HIGH_PRIORITY } else { MAX_LOAD_LOW_PRIORITY };
-        if let Some(member) = self.pick_by_wait(now, query, candidates) {
+        if let Some(member) = self.pick_by_wait(now, query, candidates, has_idle) {
             return Ok(member);
         }
         let mut ranked = candidates.iter().copied().enumerate();
@@ -553,8 +578,9 @@
         now: PolicyTime,
         query: &EndpointQuery<'_>,
         candidates: &[usize],
+        has_idle: &dyn Fn(EndpointKey) -> bool,
     ) -> Option<(usize, usize)> {
-        let set = self.endpoint_set(now, query, candidates)?;
+        let set = self.endpoint_set(now, query, candidates, has_idle)?;
         set.first().filter(|first| first.rank == 0)?;
         select_member(&set).map(|member| (member.rank, member.index))
     }
--- a/crates/jackdawmux_policy/src/fleet/steering/demand.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering/demand.rs
@@ -1,5 +1,7 @@
 //! Follows the demand of each region for services that are steered by expected wait.
 
+use std::time::Duration;
+
 use super::super::region_demand::{DemandStatements, MAX_STATEMENTS, service_hash};
 use super::super::region_share::{RegionShares, demand_shares, region_shares};
 use super::{FleetSteering, ServiceState};
@@ -50,13 +52,17 @@
         }
     }
 
-    /// Returns the share of this region's demand for a service that each region serves, for logs.
+    /// Returns the services that are steered by expected wait, each with the share of this region's
+    /// demand that each region serves and its usual work time, for logs.
     #[must_use]
-    pub fn service_shares(&self, now: PolicyTime, service: &str) -> Option<RegionShares> {
-        let service = self.services.get(service)?;
-        let capacity = self.region_capacity(now, service);
-        let even = region_shares(self.own_region, &capacity);
-        Some(service.shift.apply(&even, &capacity))
+    pub fn steered_services(&self, now: PolicyTime) -> Vec<(&str, RegionShares, Option<Duration>)> {
+        let steered = self.services.iter().filter(|(name, _)| self.is_steered_by_wait(name));
+        let described = steered.map(|(name, service)| {
+            let capacity = self.region_capacity(now, service);
+            let even = region_shares(self.own_region, &capacity);
+            (name.as_str(), service.shift.apply(&even, &capacity), self.usual_work(name))
+        });
+        described.collect()
     }
 
     /// Updates the demand for each service and moves its shares.
@@ -68,7 +74,8 @@
                 continue;
             };
             let capacity = self.region_capacity(now, service);
-            let even = region_shares(self.own_region, &capacity);
+            let free = service.homed.free_capacity(&capacity, capacity.iter().sum());
+            let even = region_shares(self.own_region, &free);
             let Some(service) = self.services.get_mut(&name) else {
                 continue;
             };
@@ -77,7 +84,13 @@
             let demand = service.demand.by_region(now, self.own_region, &self.region_members);
             let target = demand.map_or_else(
                 || even.clone(),
-                |demand| demand_shares(self.own_region, &capacity, &demand),
+                |demand| {
+                    // Bound requests are served in their homes, whatever the shares are.
+                    let free = service.homed.free_capacity(&capacity, demand.iter().sum());
+                    let unbound = 1.0 - service.homed.total_share();
+                    let demand: RegionShares = demand.iter().map(|sum| sum * unbound).collect();
+                    demand_shares(self.own_region, &free, &demand)
+                },
             );
             service.shift.move_towards(now, &even, &target, &capacity);
         }
--- a/crates/jackdawmux_policy/tests/support/warm_fleet.rs
+++ b/crates/jackdawmux_policy/tests/support/warm_fleet.rs
@@ -173,6 +173,9 @@
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     order: u64,
     choices: Vec<EndpointChoice>,
+    /// When connections of a front to an endpoint became idle.
+    idle: HashMap<(usize, EndpointKey), Vec<u64>>,
+    pub opened: u32,
     rng: StdRng,
     pub kinds: Vec<CallerKind>,
     /// Start of the requests that are counted by kind, in seconds.
@@ -201,6 +204,8 @@
             events: BinaryHeap::new(),
             order: 0,
             choices: Vec::new(),
+            idle: HashMap::new(),
+            opened: 0,
             rng: StdRng::seed_from_u64(seed),
             kinds: Vec::new(),
             count_from: 0,
@@ -316,12 +321,18 @@
             connected: None,
             deadline: Some(deadline),
         };
-        let chosen = self.fronts[front].choose(PolicyTime(at), &query);
+        let is_recent = |since: &u64| at - since < 4_000_000;
+        let has_idle = |key| {
+            self.idle.get(&(front, key)).is_some_and(|idle| idle.last().is_some_and(is_recent))
+        };
+        let chosen = self.fronts[front].choose_connected(PolicyTime(at), &query, &has_idle);
         let choice = match chosen {
             Ok(choice) => choice,
             Err(refusal) => return self.refuse(at, kind, object, requested_at, Some(refusal)),
         };
         let index = self.keys[&choice.key];
+        let idle = self.idle.entry((front, choice.key)).or_default();
+        self.opened += u32::from(!idle.pop().as_ref().is_some_and(is_recent));
         let is_warm = choice.is_warm;
         let job = Job {
             kind,
@@ -428,6 +439,8 @@
         if let Some(next) = next {
             self.start(at, index, next);
         }
+        let key = EndpointKey::of(&endpoint(u16::try_from(index).expect("the index fits")).id);
+        self.idle.entry((job.front, key)).or_default().push(at);
         let sent_for = Duration::from_micros(at - job.sent_at);
         let choice = &self.choices[job.choice];
         self.fronts[job.front].record_answer(PolicyTime(at), SERVICE, choice, sent_for);
