--- a/crates/jackdawmux_policy/src/fleet/steering/pressure.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering/pressure.rs
@@ -66,7 +66,7 @@
         has_idle: &dyn Fn(EndpointKey) -> bool,
     ) -> Option<EndpointSet> {
         let service = self.services.get(query.service)?;
-        service.work.usual_ms().filter(|_| self.is_steered_by_wait(query.service))?;
+        service.work.usual_ms().filter(|_| service.states_work)?;
         let member = |rank: usize, index: usize, state: &EndpointState| {
             let wait = state.expected_wait(now);
             let is_known = self.recent.contains(query.object, state.key);
