--- a/crates/jackdawmux_entry/src/front/native.rs
+++ b/crates/jackdawmux_entry/src/front/native.rs
@@ -177,6 +177,8 @@
             config_deadline: UPDATE_DEADLINE,
             teams: None,
             has_pressure: false,
+            has_endpoint_sets: false,
+            has_demand_shares: false,
         },
     }
 }
--- a/crates/jackdawmux_native/tests/native.rs
+++ b/crates/jackdawmux_native/tests/native.rs
@@ -101,6 +101,8 @@
             config_deadline: Duration::from_secs(2),
             teams: None,
             has_pressure: false,
+            has_endpoint_sets: false,
+            has_demand_shares: false,
         },
     }
 }
--- a/crates/jackdawmux_policy/src/fleet/record.rs
+++ b/crates/jackdawmux_policy/src/fleet/record.rs
@@ -233,4 +233,9 @@
     /// Whether requests are steered and admitted by expected wait and cost on all services. Other
     /// deployments do so only for services whose endpoints state how long work takes.
     pub has_pressure: bool,
+    /// Whether objects are served by sets of endpoints, by expected wait, where endpoints state how
+    /// long work takes.
+    pub has_endpoint_sets: bool,
+    /// Whether the shares of regions follow their demand under load.
+    pub has_demand_shares: bool,
 }
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -518,7 +518,7 @@
             _ => known.into(),
         };
         let mut shares = region_shares(self.own_region, &free);
-        if let Some(state) = service_state.filter(|_| self.is_steered_by_wait(service)) {
+        if let Some(state) = service_state.filter(|_| self.follows_demand(service)) {
             shares = state.shift.apply(&shares, known);
         }
         let has_known_region = known.iter().any(|slots| *slots > 0.0);
--- a/crates/jackdawmux_policy/src/fleet/steering/demand.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering/demand.rs
@@ -8,6 +8,11 @@
 use crate::clock::PolicyTime;
 
 impl FleetSteering {
+    /// Returns whether the shares of the regions follow the demand for a service.
+    pub(super) fn follows_demand(&self, service: &str) -> bool {
+        self.bounds.has_demand_shares && self.is_steered_by_wait(service)
+    }
+
     /// Sets the failure domains of all registered instances, one entry for each instance.
     pub fn set_instance_domains<'domain>(
         &mut self,
@@ -27,7 +32,7 @@
     #[must_use]
     pub fn demand_statements(&self, now: PolicyTime) -> DemandStatements {
         let members = self.region_members.get(self.own_region).copied().unwrap_or_default();
-        let steered = self.services.iter().filter(|(name, _)| self.is_steered_by_wait(name));
+        let steered = self.services.iter().filter(|(name, _)| self.follows_demand(name));
         let mut statements: Vec<_> = steered
             .map(|(name, service)| service.demand.statement(now, name, self.own_region, members))
             .collect();
@@ -56,7 +61,7 @@
     /// demand that each region serves and its usual work time, for logs.
     #[must_use]
     pub fn steered_services(&self, now: PolicyTime) -> Vec<(&str, RegionShares, Option<Duration>)> {
-        let steered = self.services.iter().filter(|(name, _)| self.is_steered_by_wait(name));
+        let steered = self.services.iter().filter(|(name, _)| self.follows_demand(name));
         let described = steered.map(|(name, service)| {
             let capacity = self.region_capacity(now, service);
             let even = region_shares(self.own_region, &capacity);
@@ -68,7 +73,7 @@
     /// Updates the demand for each service and moves its shares.
     pub(super) fn update_demand(&mut self, now: PolicyTime) {
         let steered: Vec<String> =
-            self.services.keys().filter(|name| self.is_steered_by_wait(name)).cloned().collect();
+            self.services.keys().filter(|name| self.follows_demand(name)).cloned().collect();
         for name in steered {
             let Some(service) = self.services.get(&name) else {
                 continue;
--- a/crates/jackdawmux_policy/src/fleet/steering/pressure.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering/pressure.rs
@@ -13,7 +13,9 @@
     #[must_use]
     pub fn is_steered_by_wait(&self, service: &str) -> bool {
         let service = self.services.get(service);
-        service.is_some_and(|service| self.bounds.has_pressure || service.states_work)
+        let has_caps = self.bounds.teams.is_some_and(|teams| teams.has_caps);
+        let is_on = self.bounds.has_pressure || has_caps;
+        service.is_some_and(|service| is_on || service.states_work)
     }
 
     /// Returns the wait expected before the work of a new request begins at an endpoint, by its index
@@ -76,7 +78,8 @@
         has_idle: &dyn Fn(EndpointKey) -> bool,
     ) -> Option<EndpointSet> {
         let service = self.services.get(query.service)?;
-        service.work.usual_ms().filter(|_| service.states_work)?;
+        let is_on = service.states_work && self.bounds.has_endpoint_sets;
+        service.work.usual_ms().filter(|_| is_on)?;
         let member = |rank: usize, index: usize, state: &EndpointState| {
             let wait = state.expected_wait(now);
             let is_known = self.recent.contains(query.object, state.key);
--- a/crates/jackdawmux_policy/tests/support/fleet_fixtures.rs
+++ b/crates/jackdawmux_policy/tests/support/fleet_fixtures.rs
@@ -31,6 +31,8 @@
         config_deadline: Duration::from_secs(2),
         teams: None,
         has_pressure: false,
+        has_endpoint_sets: true,
+        has_demand_shares: true,
     }
 }
 
