--- a/crates/jackdawmux_policy/tests/caps.rs
+++ b/crates/jackdawmux_policy/tests/caps.rs
@@ -254,3 +254,19 @@
     let end = caps.acquire(now, TEAM, limit, 1, now + Duration::from_secs(1));
     assert!(matches!(end, Some(Err(CapRefusal::Unknown { .. }))), "{end:?}");
 }
+
+/// Guards against an outage of caps after a loss of power: all processes start at once, and none has
+/// to wait for holders that ended with it. Without a replaced registration they must wait.
+#[rstest]
+#[case::replaced(true)]
+#[case::new(false)]
+fn holders_of_restarted_processes_fill_at_once(#[case] is_replacement: bool) {
+    let mut fleet = CapFleet::new(60.0, 60.0);
+    let now = fleet.now;
+    if is_replacement {
+        fleet.instances.iter_mut().for_each(|caps| caps.inherit(now));
+    }
+    fleet.run(Duration::from_secs(2), 0, 30.0);
+    let range = if is_replacement { 40..=60 } else { 0..=0 };
+    assert!(range.contains(&fleet.granted), "{} of 60 requests", fleet.granted);
+}
