policy: requests above a cap are denied within one round of the holders

A denial stated a time shorter than a round trip to the other regions, lapsed before these replied and was asked for again until the wait ended. Denials are remembered for at least 100 ms.

--- a/crates/jackdawmux_policy/src/fleet/cap/client.rs
+++ b/crates/jackdawmux_policy/src/fleet/cap/client.rs
@@ -16,6 +16,10 @@
 const UNKNOWN_RETRY: Duration = Duration::from_millis(500);
 /// Upper bound of the retry time of a request above the cap.
 const MAX_RETRY: Duration = Duration::from_secs(2);
+/// How long an answer that grants nothing is remembered at least. A denial that lapses before the
+/// holders of the other regions have replied would be asked for again, in a circle, until the wait
+/// ends without a result.
+const MIN_ANSWER_TIME: Duration = Duration::from_millis(100);
 /// How long an answer that grants nothing is remembered at most. A holder that has just taken over
 /// states up to 5 s, but others may take over from it.
 const MAX_ANSWER_TIME: Duration = Duration::from_secs(2);
@@ -218,7 +222,7 @@
             return;
         };
         demand.answers.retain(|answer| answer.holder != holder && now < answer.until);
-        let until = now + retry_after.min(MAX_ANSWER_TIME);
+        let until = now + retry_after.clamp(MIN_ANSWER_TIME, MAX_ANSWER_TIME);
         demand.answers.push(HolderAnswer { holder, is_denied, until });
     }
 
--- a/crates/jackdawmux_policy/tests/caps.rs
+++ b/crates/jackdawmux_policy/tests/caps.rs
@@ -270,3 +270,18 @@
     let range = if is_replacement { 40..=60 } else { 0..=0 };
     assert!(range.contains(&fleet.granted), "{} of 60 requests", fleet.granted);
 }
+
+/// Guards against requests above the cap that wait for the longest time and then get no definite
+/// answer: the rate is high, so that each denial states a shorter time than a round trip to the
+/// holders of the other regions.
+#[rstest]
+fn a_request_above_a_high_cap_is_denied_within_one_round(#[values(120.0, 600.0)] rate: f64) {
+    let mut fleet = CapFleet::new(rate, rate);
+    // The holders wait after the start.
+    fleet.run(Duration::from_secs(7), 0, 0.0);
+    fleet.run(Duration::from_secs(10), 0, rate * 3.0);
+    let unknown = |refusal: &&CapRefusal| matches!(refusal, CapRefusal::Unknown { .. });
+    let unknown = fleet.refusals.iter().filter(unknown).count();
+    assert!(unknown * 100 <= fleet.refusals.len(), "{unknown} of {}", fleet.refusals.len());
+    assert!(fleet.longest_wait < Duration::from_millis(120), "{:?}", fleet.longest_wait);
+}
