--- a/crates/jackdawmux_front/src/process/cap_service.rs
+++ b/crates/jackdawmux_front/src/process/cap_service.rs
@@ -26,13 +26,13 @@
 
 /// The state of the caps together with the requests that wait.
 #[derive(Debug)]
-struct CapDesk {
+struct CapQueue {
     caps: CapState,
     waiters: HashMap<WaiterId, (TeamId, oneshot::Sender<WaitEnd>)>,
     next_waiter: WaiterId,
 }
 
-impl CapDesk {
+impl CapQueue {
     /// Tells the requests that no longer wait. The token of a request that has gone is given to
     /// another one.
     fn deliver(&mut self, now: PolicyTime) {
@@ -56,7 +56,7 @@
 /// Enforces the request caps of teams together with the other instances.
 #[derive(Debug)]
 pub struct CapService {
-    desk: Mutex<CapDesk>,
+    queue: Mutex<CapQueue>,
     clock: ProcessClock,
     metrics: CapMetrics,
     /// Notified when there are messages to send.
@@ -75,8 +75,8 @@
         metrics: CapMetrics,
     ) -> Self {
         let caps = CapState::new(rand::random(), name, region);
-        let desk = CapDesk { caps, waiters: HashMap::new(), next_waiter: 0 };
-        Self { desk: Mutex::new(desk), clock, metrics, asks_due: Notify::new(), is_on }
+        let queue = CapQueue { caps, waiters: HashMap::new(), next_waiter: 0 };
+        Self { queue: Mutex::new(queue), clock, metrics, asks_due: Notify::new(), is_on }
     }
 
     /// Applies the teams of the configuration in force.
@@ -90,9 +90,9 @@
         });
         let limits = limits.collect();
         let now = self.clock.now();
-        let mut desk = self.lock();
-        desk.caps.set_limits(now, &limits);
-        desk.deliver(now);
+        let mut queue = self.lock();
+        queue.caps.set_limits(now, &limits);
+        queue.deliver(now);
     }
 
     /// Applies a registration of an instance in `region`.
@@ -162,18 +162,18 @@
         proof_age: Option<Duration>,
     ) -> Result<WaitEnd, CapWait> {
         let now = self.clock.now();
-        let mut desk = self.lock();
-        desk.caps.observe_proof(now, proof_age);
-        desk.next_waiter += 1;
-        let waiter = desk.next_waiter;
-        let end = desk.caps.acquire(now, team, limit, waiter, deadline);
-        desk.deliver(now);
+        let mut queue = self.lock();
+        queue.caps.observe_proof(now, proof_age);
+        queue.next_waiter += 1;
+        let waiter = queue.next_waiter;
+        let end = queue.caps.acquire(now, team, limit, waiter, deadline);
+        queue.deliver(now);
         if let Some(end) = end {
             return Ok(end);
         }
         let (sender, receiver) = oneshot::channel();
-        desk.waiters.insert(waiter, (team, sender));
-        drop(desk);
+        queue.waiters.insert(waiter, (team, sender));
+        drop(queue);
         self.asks_due.notify_one();
         Err(CapWait { service: Arc::clone(self), team, waiter, receiver })
     }
@@ -211,23 +211,23 @@
                 self.handle(&socket, &buffer[..count], peer, proof_age());
             }
             let now = self.clock.now();
-            let mut desk = self.lock();
-            desk.caps.observe_proof(now, proof_age());
-            if desk.caps.next_due().is_some_and(|due| due <= now) {
-                desk.caps.tick(now);
+            let mut queue = self.lock();
+            queue.caps.observe_proof(now, proof_age());
+            if queue.caps.next_due().is_some_and(|due| due <= now) {
+                queue.caps.tick(now);
             }
-            desk.deliver(now);
+            queue.deliver(now);
         }
     }
 
     /// Sends the messages that are due. Returns when replies to earlier ones are overdue.
     fn send_asks(&self, socket: &UdpSocket) -> Option<PolicyTime> {
         let now = self.clock.now();
-        let mut desk = self.lock();
-        let asks = desk.caps.take_asks(now);
-        let silenced = desk.caps.take_silenced();
-        let due = desk.caps.next_due();
-        drop(desk);
+        let mut queue = self.lock();
+        let asks = queue.caps.take_asks(now);
+        let silenced = queue.caps.take_silenced();
+        let due = queue.caps.next_due();
+        drop(queue);
         for holder in silenced {
             log::warn!("event=cap-holder-silent peer={holder}");
         }
@@ -253,20 +253,20 @@
             }
         };
         let now = self.clock.now();
-        let mut desk = self.lock();
-        desk.caps.observe_proof(now, proof_age);
+        let mut queue = self.lock();
+        queue.caps.observe_proof(now, proof_age);
         match message {
             CapMessage::Ask(ask) => {
-                let answer = desk.caps.serve(now, &ask);
-                drop(desk);
+                let answer = queue.caps.serve(now, &ask);
+                drop(queue);
                 let asked: u64 = ask.teams.iter().map(|team| u64::from(team.1)).sum();
                 self.count_answer(&answer, asked);
                 self.send(socket, peer, &CapMessage::Answer(answer));
             }
             CapMessage::Answer(answer) => {
-                let is_awaited = desk.caps.accept(now, &answer);
-                desk.deliver(now);
-                drop(desk);
+                let is_awaited = queue.caps.accept(now, &answer);
+                queue.deliver(now);
+                drop(queue);
                 self.metrics.count_datagram(if is_awaited { "awaited" } else { "unawaited" });
             }
         }
@@ -295,8 +295,8 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, CapDesk> {
-        self.desk.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, CapQueue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -332,12 +332,12 @@
         self.receiver.close();
         let end = self.receiver.try_recv();
         let now = self.service.clock.now();
-        let mut desk = self.service.lock();
+        let mut queue = self.service.lock();
         if let Ok(Ok(expiry)) = end {
-            desk.caps.give_back(now, self.team, expiry);
-            desk.deliver(now);
-        } else if desk.waiters.remove(&self.waiter).is_some() {
-            desk.caps.cancel(self.team, self.waiter);
+            queue.caps.give_back(now, self.team, expiry);
+            queue.deliver(now);
+        } else if queue.waiters.remove(&self.waiter).is_some() {
+            queue.caps.cancel(self.team, self.waiter);
         }
     }
 }
@@ -376,8 +376,8 @@
             return;
         };
         let now = service.clock.now();
-        let mut desk = service.lock();
-        desk.caps.give_back(now, team, expiry);
-        desk.deliver(now);
+        let mut queue = service.lock();
+        queue.caps.give_back(now, team, expiry);
+        queue.deliver(now);
     }
 }
--- a/crates/jackdawmux_policy/src/fleet/cap/client.rs
+++ b/crates/jackdawmux_policy/src/fleet/cap/client.rs
@@ -16,11 +16,11 @@
 const UNKNOWN_RETRY: Duration = Duration::from_millis(500);
 /// Upper bound of the retry time of a request above the cap.
 const MAX_RETRY: Duration = Duration::from_secs(2);
-/// How long an answer that grants nothing is remembered at least. A denial that lapses before the
+/// Minimum time for which an answer that grants nothing counts. A denial that lapses before the
 /// holders of the other regions have replied would be asked for again, in a circle, until the wait
 /// ends without a result.
 const MIN_ANSWER_TIME: Duration = Duration::from_millis(100);
-/// How long an answer that grants nothing is remembered at most. A holder that has just taken over
+/// Maximum time for which an answer that grants nothing counts. A holder that has just taken over
 /// states up to 5 s, but others may take over from it.
 const MAX_ANSWER_TIME: Duration = Duration::from_secs(2);
 
@@ -143,7 +143,7 @@
 }
 
 impl CapClient {
-    /// Forgets the teams that are no longer in force. Requests that wait are refused.
+    /// Removes the teams that are no longer in force. Requests that wait are refused.
     pub(super) fn retain(&mut self, is_kept: impl Fn(&TeamId) -> bool) {
         let Self { teams, ends, .. } = self;
         teams.retain(|team, demand| {
--- a/crates/jackdawmux_policy/src/fleet/cap/state.rs
+++ b/crates/jackdawmux_policy/src/fleet/cap/state.rs
@@ -85,7 +85,7 @@
             self.remove(now, id);
         }
         let change = self.members.insert(id, region, address);
-        if change == MemberChange::Joined && id == self.members.own && !self.is_heir(now) {
+        if change == MemberChange::Joined && id == self.members.own && !self.has_predecessor(now) {
             self.holder.start(now);
         }
         self.holder.set_divisor(now, self.members.region_count());
@@ -120,7 +120,7 @@
                 self.remove(now, id);
             }
         }
-        if has_gap && !self.is_heir(now) {
+        if has_gap && !self.has_predecessor(now) {
             self.holder.restart_all(now + MAX_PROOF_AGE);
         }
     }
@@ -132,7 +132,7 @@
         self.holder.resume(now);
     }
 
-    fn is_heir(&self, now: PolicyTime) -> bool {
+    fn has_predecessor(&self, now: PolicyTime) -> bool {
         self.inherited_at.is_some_and(|at| now.since(at) < TAKEOVER_DELAY)
     }
 
