front: log how long each read of updates took, waited and was not made

Lists and watches with updates state the time in which the topic was not read, the time from call to reply, and the time in the mailbox of the state actor. No change of logic.

--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -102,12 +102,8 @@
             return;
         }
         let reply = AppliedReply::new(topic, &batch, read);
+        self.log_read(topic, &batch, &read);
         if read.is_full_list {
-            log::info!(
-                "event=list-read topic={topic} at={position} count={} is_relayed={}",
-                batch.updates.len(),
-                batch.is_relayed
-            );
             self.apply_list(topic, batch);
         } else {
             for update in batch.updates {
@@ -212,6 +208,24 @@
 }
 
 impl StateActor {
+    /// Logs a read that brought updates: how long the topic was not read before it, how long the reply
+    /// took, and how long the updates waited to be applied.
+    fn log_read(&self, topic: WatchTopic, batch: &UpdateBatch, read: &ReadFacts) {
+        if !read.is_full_list && batch.updates.is_empty() {
+            return;
+        }
+        let event = if read.is_full_list { "list-read" } else { "updates-read" };
+        log::info!(
+            "event={event} topic={topic} at={} count={} is_relayed={} idle_ms={} took_ms={} queued_ms={}",
+            batch.position,
+            batch.updates.len(),
+            batch.is_relayed,
+            read.idle.as_millis(),
+            read.received.since(read.started).as_millis(),
+            self.state.permission.now().since(read.received).as_millis()
+        );
+    }
+
     /// Logs the shares of the regions from time to time, for services that are steered by expected wait.
     fn log_shares(&mut self, now: PolicyTime) {
         if self.shares_logged_at.is_some_and(|at| now.since(at) < SHARES_LOG_INTERVAL) {
--- a/crates/jackdawmux_front/src/process/team_permission.rs
+++ b/crates/jackdawmux_front/src/process/team_permission.rs
@@ -28,6 +28,10 @@
 pub(crate) struct ReadFacts {
     /// When it began, on the boot clock.
     pub(crate) started: PolicyTime,
+    /// When its reply was complete, on the boot clock.
+    pub(crate) received: PolicyTime,
+    /// Time before it in which the topic was not read.
+    pub(crate) idle: Duration,
     /// Whether it read the full list.
     pub(crate) is_full_list: bool,
     /// Whether the source may have replied with old data.
@@ -45,7 +49,7 @@
 
 impl AppliedReply {
     pub(super) fn new(topic: WatchTopic, batch: &UpdateBatch, facts: ReadFacts) -> Self {
-        let ReadFacts { started, is_full_list, may_be_old } = facts;
+        let ReadFacts { started, is_full_list, may_be_old, .. } = facts;
         let shown = batch.shown_config(is_full_list);
         let read = SourceRead { started, shown, may_be_old };
         Self { topic, position: batch.position, evidence: batch.evidence, read }
--- a/crates/jackdawmux_front/src/process/watcher.rs
+++ b/crates/jackdawmux_front/src/process/watcher.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use jackdawmux_policy::clock::PolicyTime;
 use jackdawmux_policy::fleet::relay::RelayTimes;
 use jackdawmux_policy::fleet::watch_cursor::{CallOutcome, ReplyUse, SourceCall, WatchCursor};
 use kameo::actor::ActorRef;
@@ -69,6 +70,7 @@
     pub(crate) async fn run(self) {
         let mut cursor = WatchCursor::default();
         let mut backoff = INITIAL_BACKOFF;
+        let mut read_until = self.state.permission.now();
         loop {
             let probe = self.state.connectivity.acquire_probe().await;
             if probe.is_some() {
@@ -85,8 +87,11 @@
                 sleep(RESTORE_LIST_SPREAD.mul_f64(rand::random())).await;
             }
             let call = cursor.next();
-            let read = self.start_read(call);
-            match self.execute(call, read).await {
+            let mut read = self.start_read(call, read_until);
+            let end = self.execute(call, read).await;
+            read.received = self.state.permission.now();
+            read_until = read.received;
+            match end {
                 CallEnd::Returned(Ok(batch)) => {
                     backoff = INITIAL_BACKOFF;
                     self.record_success().await;
@@ -130,10 +135,13 @@
 
     /// Determines how a call is made. The first list may be old unless it must prove that it is the
     /// newest.
-    fn start_read(&self, call: SourceCall) -> ReadFacts {
+    fn start_read(&self, call: SourceCall, read_until: PolicyTime) -> ReadFacts {
         let needs_proof = self.state.permission.max_wait(self.topic).is_some();
+        let started = self.state.permission.now();
         ReadFacts {
-            started: self.state.permission.now(),
+            started,
+            received: started,
+            idle: started.since(read_until),
             is_full_list: matches!(call, SourceCall::List { .. }),
             may_be_old: !needs_proof && matches!(call, SourceCall::List { is_first: true }),
         }
