front: a relay answers reads of a topic only while the source replies for that topic

Callers' requests were run by endpoints that had left: 8 s after the removal (as long as the tests look; bound 2 s).

Cause: a watch that waits proves nothing, and the safety nets did not cover it. A relay counted as current if the source had answered any call lately, also one for another topic or the cheap check, which reads a replica; so it replied 'unchanged' for a topic whose watch was never answered, or whose list was refused. Peers' heartbeats state the newest change by the revision of an object, and a removed endpoint has none, so neither the relay nor its readers, nor a front alone, found out.

Now the hub keeps when the source last replied for each topic; a relay refuses reads (409) of a topic after 0.65 of the update deadline without, and its readers turn to the source. A direct reader watches endpoints for 0.35 of the deadline and lists them if no reply comes within 0.6; a possible relay also watches configuration and evacuations so. Only the topic whose reply is overdue is read again, the source is not taken for lost.

Ruled out: one check for all topics (proves nothing of the others); stating the position of a reply in heartbeats in place of the newest change (names any change of any kind, so every removal would make all instances ask).

Price: one call each 0.7 to 1.05 s and direct reader.

--- a/crates/jackdawmux_front/src/process/watcher.rs
+++ b/crates/jackdawmux_front/src/process/watcher.rs
@@ -96,6 +96,9 @@
                     backoff = INITIAL_BACKOFF;
                     self.record_success().await;
                     drop(probe);
+                    if !batch.is_relayed {
+                        self.state.relay.record_reply(self.topic);
+                    }
                     self.state.connectivity.observe_era(batch.position.era);
                     // An update that cannot be decoded has been read nevertheless.
                     let is_empty =
@@ -115,6 +118,10 @@
                     log::info!("event=history-gone topic={} {error}", self.topic);
                     let _discarded = cursor.record(call, CallOutcome::HistoryGone);
                 }
+                CallEnd::Returned(Err(error)) if error.kind == SourceErrorKind::WatchOverdue => {
+                    log::warn!("event=watch-abandoned topic={} {error}", self.topic);
+                    let _discarded = cursor.record(call, CallOutcome::Failed);
+                }
                 CallEnd::Returned(Err(error)) => {
                     let _discarded = cursor.record(call, CallOutcome::Failed);
                     self.record_failure(&error);
--- a/crates/jackdawmux_front/src/relay/hub.rs
+++ b/crates/jackdawmux_front/src/relay/hub.rs
@@ -16,13 +16,20 @@
 pub(crate) struct RelayHub {
     logs: [Mutex<RelayLog<FleetUpdate>>; WatchTopic::COUNT],
     changes: watch::Sender<u64>,
+    /// When the source last replied for each topic.
+    replied_at: Mutex<[Option<Instant>; WatchTopic::COUNT]>,
     /// When another instance last read from this one.
     read_at: Mutex<Option<Instant>>,
 }
 
 impl Default for RelayHub {
     fn default() -> Self {
-        Self { logs: Default::default(), changes: watch::Sender::new(0), read_at: Mutex::default() }
+        Self {
+            logs: Default::default(),
+            changes: watch::Sender::new(0),
+            replied_at: Mutex::default(),
+            read_at: Mutex::default(),
+        }
     }
 }
 
@@ -70,6 +77,17 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
+    /// Records that the source itself replied for a topic.
+    pub(crate) fn record_reply(&self, topic: WatchTopic) {
+        let mut replied_at = self.replied_at.lock().unwrap_or_else(PoisonError::into_inner);
+        replied_at[topic as usize] = Some(Instant::now());
+    }
+
+    /// When the source last replied for a topic; none before its first reply.
+    pub(super) fn replied_at(&self, topic: WatchTopic) -> Option<Instant> {
+        self.replied_at.lock().unwrap_or_else(PoisonError::into_inner)[topic as usize]
+    }
+
     /// Records that another instance reads.
     pub(super) fn record_read(&self) {
         *self.read_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
--- a/crates/jackdawmux_front/src/relay/server.rs
+++ b/crates/jackdawmux_front/src/relay/server.rs
@@ -59,12 +59,15 @@
         if !is_relay(&state) || (has_bounds && !state.permission.is_useful_proof(proof)) {
             return StatusCode::CONFLICT.into_response();
         }
+        let Some(current_until) = current_until(&state, topic) else {
+            return StatusCode::CONFLICT.into_response();
+        };
         let is_renewed = has_bounds && proof != first_proof;
         let is_due = is_renewed || Instant::now() >= deadline;
         if let Some(response) = reply(&state, topic, &query, is_due) {
             return with_proof(response, proof, arrived);
         }
-        let _changed_or_elapsed = timeout_at(deadline, changes.changed()).await;
+        let _changed_or_elapsed = timeout_at(deadline.min(current_until), changes.changed()).await;
     }
 }
 
@@ -116,6 +119,19 @@
     is_direct && is_fresh && state.phase() != FrontPhase::Leaving
 }
 
+/// Until when this instance may answer reads of a topic, as far as the source's replies for this
+/// topic show; none if it may not. A reply for another topic shows nothing.
+fn current_until(state: &FrontState, topic: WatchTopic) -> Option<Instant> {
+    let times = RelayTimes::new(state.settings.bounds.update_deadline);
+    match topic {
+        WatchTopic::Instances => Some(Instant::now() + MAX_WAIT),
+        WatchTopic::Config | WatchTopic::Endpoints | WatchTopic::Evacuations => {
+            let until = state.relay.replied_at(topic)? + times.max_topic_age;
+            (Instant::now() < until).then_some(until)
+        }
+    }
+}
+
 fn reply(
     state: &FrontState,
     topic: WatchTopic,
--- a/crates/jackdawmux_front/src/relay/source.rs
+++ b/crates/jackdawmux_front/src/relay/source.rs
@@ -197,13 +197,48 @@
             if self.needs_proof(topic) { PROOF_FALLBACK_WAIT } else { FALLBACK_WAIT };
         let is_short = is_fallback || path == ReadPath::Undecided;
         let wait = if is_short { wait.min(fallback_wait) } else { wait };
-        let batch = self.source.watch(topic, position, wait).await?;
+        let batch = self.watch_source(topic, position, wait).await?;
         if !batch.updates.is_empty() {
             self.record_position(topic, batch.position);
         }
         Ok(batch)
     }
 
+    /// Watches a topic at the source. A topic that must be current is watched for short times, each of
+    /// which must end with a reply.
+    async fn watch_source(
+        &self,
+        topic: WatchTopic,
+        position: SourcePosition,
+        wait: Duration,
+    ) -> Result<UpdateBatch, SourceError> {
+        if !self.must_be_current(topic) {
+            return self.source.watch(topic, position, wait).await;
+        }
+        let times = RelayTimes::new(self.state.settings.bounds.update_deadline);
+        let watch = self.source.watch(topic, position, wait.min(times.source_wait));
+        timeout(times.source_timeout, watch).await.unwrap_or_else(|_elapsed| {
+            let (step, kind) = ("watch", SourceErrorKind::WatchOverdue);
+            Err(SourceError {
+                step,
+                peer: "-".to_owned(),
+                kind,
+                reason: "no reply in time".to_owned(),
+            })
+        })
+    }
+
+    /// Whether a missing reply for a topic must be noticed within the update deadline. Peers notice a
+    /// missed version or evacuation, but not the removal of an endpoint, which has no revision of its
+    /// own. The readers of a relay rely on it alone.
+    fn must_be_current(&self, topic: WatchTopic) -> bool {
+        match topic {
+            WatchTopic::Endpoints => true,
+            WatchTopic::Config | WatchTopic::Evacuations => self.state.directory().may_be_relay(),
+            WatchTopic::Instances => false,
+        }
+    }
+
     /// Reads from a relay. Ends at once if another read finds that it does not reply.
     async fn read(
         &self,
--- a/crates/jackdawmux_front/src/source.rs
+++ b/crates/jackdawmux_front/src/source.rs
@@ -127,6 +127,8 @@
     /// No reply arrived; a write may have taken effect.
     #[strum(serialize = "no-answer")]
     NoReply,
+    /// No reply to a watch arrived in time. The source may answer other calls.
+    WatchOverdue,
     /// The reply could not be decoded.
     Malformed,
 }
--- a/crates/jackdawmux_policy/src/fleet/directory.rs
+++ b/crates/jackdawmux_policy/src/fleet/directory.rs
@@ -8,7 +8,7 @@
 
 use super::placement::MAX_LOOKUP_INSTANCES;
 use super::record::InstanceRecord;
-use super::relay::{ReadPath, RelaySuspicions, read_path, relay_group};
+use super::relay::{MIN_GROUP_SIZE, ReadPath, RelaySuspicions, read_path, relay_group};
 use crate::clock::PolicyTime;
 
 /// Minimum interval between heartbeats to one instance.
@@ -320,6 +320,12 @@
         })
     }
 
+    /// Returns whether other instances may read updates from this one.
+    #[must_use]
+    pub fn may_be_relay(&self) -> bool {
+        self.relay_group().len() >= MIN_GROUP_SIZE
+    }
+
     /// Returns the instances with which this one shares a relay, including itself; empty until it
     /// knows its own registration.
     fn relay_group(&self) -> Vec<&InstanceRecord> {
--- a/crates/jackdawmux_policy/src/fleet/relay.rs
+++ b/crates/jackdawmux_policy/src/fleet/relay.rs
@@ -15,7 +15,7 @@
 /// Largest group that shares a relay.
 const MAX_GROUP_SIZE: usize = 16;
 /// Smallest group in which a relay saves calls to the source.
-const MIN_GROUP_SIZE: usize = 3;
+pub(super) const MIN_GROUP_SIZE: usize = 3;
 /// How long a relay that failed to reply is not asked again.
 const SUSPICION_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of updates that a relay keeps for watches. A position before them is answered as
@@ -31,6 +31,14 @@
     pub reply_timeout: Duration,
     /// Maximum age of the source's latest reply with which a relay answers reads.
     pub max_age: Duration,
+    /// How long a watch at the source waits if the topic must be current: its reply, also one without
+    /// updates, shows that the source still answers for the topic.
+    pub source_wait: Duration,
+    /// How long an instance waits for the reply to such a watch before it lists the topic instead.
+    pub source_timeout: Duration,
+    /// Maximum time since the source last replied for a topic with which a relay answers reads of it. It
+    /// covers a batch delay and the next watch.
+    pub max_topic_age: Duration,
     /// Maximum time without a reply of the source after which a relay checks it.
     pub check_interval: Duration,
     /// Delay after a batch from the source, in which further updates accumulate at a relay.
@@ -46,6 +54,9 @@
             wait: update_deadline.mul_f64(0.2),
             reply_timeout: update_deadline.mul_f64(0.35),
             max_age: update_deadline.mul_f64(0.4),
+            source_wait: update_deadline.mul_f64(0.35),
+            source_timeout: update_deadline.mul_f64(0.6),
+            max_topic_age: update_deadline.mul_f64(0.65),
             check_interval: update_deadline.mul_f64(0.16),
             batch_delay: update_deadline.mul_f64(0.15),
         }
