front: the next watch follows at once after a list and after a reply with many updates

Callers' requests may be run by endpoints that left while many others change. A list was followed by the same pause, during which nothing was read.

Ruled out: a longer reply (the platform decides).

--- a/crates/jackdawmux_front/src/process/watcher.rs
+++ b/crates/jackdawmux_front/src/process/watcher.rs
@@ -25,13 +25,16 @@
 const UNLIMITED: Duration = Duration::from_secs(3_600);
 /// How long one watch waits for updates.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(12);
-/// Delay after a non-empty batch, in which further updates accumulate, as a share of the time
+/// Delay after a watch that brought updates, in which further updates accumulate, as a share of the time
 /// within which an update must be applied. Each call to the source has a cost; the rest of that
 /// time allows for a slow response and for requests in progress.
 const BATCH_DELAY_SHARE: f64 = 0.3;
 /// The same delay for instances; it may be longer, because heartbeats show sooner whether an
 /// instance is up.
 const INSTANCES_BATCH_DELAY: Duration = Duration::from_secs(1);
+/// Updates in a reply from which on the next watch follows without a delay. A source limits the updates
+/// of one reply, so more of them may wait there.
+const MAX_DELAYED_UPDATES: usize = 250;
 /// Time since the last read by another instance within which this one counts as a relay.
 const RELAY_ACTIVITY: Duration = Duration::from_secs(5);
 /// Backoff after the first failed call; doubles up to `MAX_BACKOFF`.
@@ -195,8 +198,10 @@
             SourceCall::Watch { position } => Some(position),
         };
         self.state.relay.record(self.topic, from, &batch);
-        // A relay has already waited for further updates.
-        let is_delayed = !batch.updates.is_empty() && !batch.is_relayed;
+        // A relay has already waited for further updates, and a list has taken its time.
+        let is_delayed = from.is_some()
+            && !batch.is_relayed
+            && (1..MAX_DELAYED_UPDATES).contains(&batch.updates.len());
         let message = ApplyUpdates { topic: self.topic, batch, read };
         let is_delivered = self.state_actor.tell(message).await.is_ok();
         if is_delayed {
