front: a refusal that names no attempt proves nothing on a kept connection

A report of other operators: a faulty endpoint writes an earlier refusal once more on a kept connection, and callers are told 'not run' for a request that runs, or it runs at a second endpoint. Shown here: a payment ran twice (foreign_answers, two of three cases red before: a 503 and a 421 that name no attempt; one that names another attempt was already discarded).

Cause: a refusal without X-Attempt-Id counted as the answer to whatever request waited. Now a refusal proves that a request did not run only if it names the attempt, or is the first answer on a connection that was opened for it. A request that names no attempt gets a new connection, so that its refusals stay usable and hold nothing against the endpoint. Cannot happen: the copy of a refusal with the same attempt on a kept connection, because a connection that carried a refusal is not kept and a request never returns to an endpoint that it was sent to; the hop over a peer, whose listener is ours.

--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -337,6 +337,8 @@
             endpoint: choice.key,
             address: choice.address,
             is_at_most_once: self.plan.is_at_most_once(),
+            // Nothing else shows that a refusal belongs to a request that names no attempt.
+            may_reuse: self.plan.attempt.is_some(),
             time_left: self.time_left(),
         };
         let on_send = |is_new| {
@@ -449,8 +451,15 @@
         headers: &ResponseHeaders,
         guard: AttemptGuard,
     ) -> AttemptResult {
+        let is_named = headers.attempt.is_some() && headers.attempt == self.plan.attempt;
         let is_foreign = headers.attempt != self.plan.attempt;
-        if is_foreign && (headers.attempt.is_some() || response.status().is_success()) {
+        // On a connection that was opened for this request, a response without an attempt can only be
+        // its own.
+        let is_doubtful =
+            !is_named && connection.is_reused() && (headers.is_misdirected || headers.is_not_run);
+        if is_doubtful
+            || (is_foreign && (headers.attempt.is_some() || response.status().is_success()))
+        {
             self.log_entry.record_outcome("foreign-answer");
             guard.finish(AttemptOutcome::Failed);
             return AttemptResult::Lost;
--- a/crates/jackdawmux_front/src/request/peer_attempt.rs
+++ b/crates/jackdawmux_front/src/request/peer_attempt.rs
@@ -73,6 +73,7 @@
             endpoint: EndpointKey::of(&peer.name),
             address: peer.heartbeat_address,
             is_at_most_once: self.plan.is_at_most_once(),
+            may_reuse: true,
             time_left: self.time_left(),
         };
         self.state.metrics.count_forwarded("sent");
--- a/crates/jackdawmux_front/src/upstream/exchange.rs
+++ b/crates/jackdawmux_front/src/upstream/exchange.rs
@@ -27,6 +27,8 @@
     pub(crate) address: SocketAddr,
     /// Whether the request must not run more than once.
     pub(crate) is_at_most_once: bool,
+    /// Whether a pooled connection may be used.
+    pub(crate) may_reuse: bool,
     /// Time until the deadline.
     pub(crate) time_left: Duration,
 }
@@ -60,8 +62,9 @@
 ) -> ExchangeOutcome {
     let mut request = request;
     for attempt in 0..=MAX_STALE_CONNECTIONS {
-        let idle = target.pool.take(target.endpoint, target.is_at_most_once);
-        let pooled = if attempt < MAX_STALE_CONNECTIONS { idle } else { None };
+        let may_reuse = target.may_reuse && attempt < MAX_STALE_CONNECTIONS;
+        let pooled =
+            may_reuse.then(|| target.pool.take(target.endpoint, target.is_at_most_once)).flatten();
         let mut connection = match pooled {
             Some(connection) => connection,
             None => match open(&target).await {
--- a/crates/jackdawmux_front/src/upstream/pool.rs
+++ b/crates/jackdawmux_front/src/upstream/pool.rs
@@ -45,6 +45,12 @@
 }
 
 impl PooledConnection {
+    /// Whether the connection has carried a request before, so that an earlier response may be repeated
+    /// on it.
+    pub(crate) const fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Reads for how long the endpoint keeps the connection open while it is idle.
     pub(super) fn read_keep_alive(&mut self, headers: &HeaderMap) {
         let stated = headers.get("keep-alive").and_then(|value| value.to_str().ok());
