front: short watches only where no peer can state what was missed

Cause: each relay watched three topics for 0.35 of the update deadline. Peers outside the group state versions and evacuations, which need not have covered: short watches of these two are now left to deployments in which all instances share one relay, and those of the endpoints wait 0.45 of the deadline. stale_topics 10 of 10, freshness and relays pass.

--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -217,6 +217,17 @@
         self.directory().read_path(now, &suspicions, is_starting)
     }
 
+    /// Whether a missing reply of the source for a topic must be noticed without other instances. They
+    /// state versions and evacuations that this one has missed, but not the removal of an endpoint,
+    /// which has no revision of its own.
+    pub(crate) fn must_be_current(&self, topic: WatchTopic) -> bool {
+        match topic {
+            WatchTopic::Endpoints => true,
+            WatchTopic::Config | WatchTopic::Evacuations => self.directory().shares_only_relay(),
+            WatchTopic::Instances => false,
+        }
+    }
+
     /// Reads from another instance than this relay for a while. Returns whether it was not suspected
     /// before.
     pub(crate) fn suspect_relay(&self, relay: &str) -> bool {
--- a/crates/jackdawmux_front/src/relay/server.rs
+++ b/crates/jackdawmux_front/src/relay/server.rs
@@ -122,14 +122,12 @@
 /// Until when this instance may answer reads of a topic, as far as the source's replies for this
 /// topic show; none if it may not. A reply for another topic shows nothing.
 fn current_until(state: &FrontState, topic: WatchTopic) -> Option<Instant> {
-    let times = RelayTimes::new(state.settings.bounds.update_deadline);
-    match topic {
-        WatchTopic::Instances => Some(Instant::now() + MAX_WAIT),
-        WatchTopic::Config | WatchTopic::Endpoints | WatchTopic::Evacuations => {
-            let until = state.relay.replied_at(topic)? + times.max_topic_age;
-            (Instant::now() < until).then_some(until)
-        }
+    if !state.must_be_current(topic) {
+        return Some(Instant::now() + MAX_WAIT);
     }
+    let times = RelayTimes::new(state.settings.bounds.update_deadline);
+    let until = state.relay.replied_at(topic)? + times.max_topic_age;
+    (Instant::now() < until).then_some(until)
 }
 
 fn reply(
--- a/crates/jackdawmux_front/src/relay/source.rs
+++ b/crates/jackdawmux_front/src/relay/source.rs
@@ -212,7 +212,7 @@
         position: SourcePosition,
         wait: Duration,
     ) -> Result<UpdateBatch, SourceError> {
-        if !self.must_be_current(topic) {
+        if !self.state.must_be_current(topic) {
             return self.source.watch(topic, position, wait).await;
         }
         let times = RelayTimes::new(self.state.settings.bounds.update_deadline);
@@ -228,17 +228,6 @@
         })
     }
 
-    /// Whether a missing reply for a topic must be noticed within the update deadline. Peers notice a
-    /// missed version or evacuation, but not the removal of an endpoint, which has no revision of its
-    /// own. The readers of a relay rely on it alone.
-    fn must_be_current(&self, topic: WatchTopic) -> bool {
-        match topic {
-            WatchTopic::Endpoints => true,
-            WatchTopic::Config | WatchTopic::Evacuations => self.state.directory().may_be_relay(),
-            WatchTopic::Instances => false,
-        }
-    }
-
     /// Reads from a relay. Ends at once if another read finds that it does not reply.
     async fn read(
         &self,
--- a/crates/jackdawmux_policy/src/fleet/directory.rs
+++ b/crates/jackdawmux_policy/src/fleet/directory.rs
@@ -320,10 +320,11 @@
         })
     }
 
-    /// Returns whether other instances may read updates from this one.
+    /// Returns whether all instances share one relay, so that no other one reads the source.
     #[must_use]
-    pub fn may_be_relay(&self) -> bool {
-        self.relay_group().len() >= MIN_GROUP_SIZE
+    pub fn shares_only_relay(&self) -> bool {
+        let size = self.relay_group().len();
+        size >= MIN_GROUP_SIZE && size == self.registered.len()
     }
 
     /// Returns the instances with which this one shares a relay, including itself; empty until it
--- a/crates/jackdawmux_policy/src/fleet/relay.rs
+++ b/crates/jackdawmux_policy/src/fleet/relay.rs
@@ -54,9 +54,9 @@
             wait: update_deadline.mul_f64(0.2),
             reply_timeout: update_deadline.mul_f64(0.35),
             max_age: update_deadline.mul_f64(0.4),
-            source_wait: update_deadline.mul_f64(0.35),
-            source_timeout: update_deadline.mul_f64(0.6),
-            max_topic_age: update_deadline.mul_f64(0.65),
+            source_wait: update_deadline.mul_f64(0.45),
+            source_timeout: update_deadline.mul_f64(0.65),
+            max_topic_age: update_deadline.mul_f64(0.7),
             check_interval: update_deadline.mul_f64(0.16),
             batch_delay: update_deadline.mul_f64(0.15),
         }
