--- a/crates/jackdawmux_front/src/process/watcher.rs
+++ b/crates/jackdawmux_front/src/process/watcher.rs
@@ -73,6 +73,8 @@
     pub(crate) async fn run(self) {
         let mut cursor = WatchCursor::default();
         let mut backoff = INITIAL_BACKOFF;
+        // Delay before the list if the history is gone again although the topic was just listed.
+        let mut gone_backoff = Duration::ZERO;
         let mut read_until = self.state.permission.now();
         loop {
             let probe = self.state.connectivity.acquire_probe().await;
@@ -97,6 +99,9 @@
             match end {
                 CallEnd::Returned(Ok(batch)) => {
                     backoff = INITIAL_BACKOFF;
+                    if matches!(call, SourceCall::Watch { .. }) {
+                        gone_backoff = Duration::ZERO;
+                    }
                     self.record_success().await;
                     drop(probe);
                     if !batch.is_relayed {
@@ -120,6 +125,8 @@
                     self.record_success().await;
                     log::info!("event=history-gone topic={} {error}", self.topic);
                     let _discarded = cursor.record(call, CallOutcome::HistoryGone);
+                    sleep(gone_backoff.mul_f64(rand::random_range(0.5..1.0))).await;
+                    gone_backoff = (gone_backoff * 2).clamp(INITIAL_BACKOFF, MAX_BACKOFF);
                 }
                 CallEnd::Returned(Err(error)) if error.kind == SourceErrorKind::WatchOverdue => {
                     log::warn!("event=watch-abandoned topic={} {error}", self.topic);
