front: metrics and log lines of the retry budget, by service

Change: requests counted, retries taken and refused, allowance and divisor, by service. No decision changes. Ruled out: jackdawmux_retries, which counts every attempt after the first, also where no byte was sent before.

--- a/crates/jackdawmux_front/src/process/mod.rs
+++ b/crates/jackdawmux_front/src/process/mod.rs
@@ -10,6 +10,7 @@
 mod lookup;
 mod peer_facts;
 mod request_meter;
+mod retry_report;
 mod settings;
 mod state;
 mod state_actor;
--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -20,6 +20,7 @@
 use tokio::sync::Notify;
 
 use super::heartbeat::Heartbeat;
+use super::retry_report::RetryReport;
 use super::state::{FrontPhase, FrontState};
 use super::team_permission::{AppliedReply, ReadFacts};
 use crate::source::{FleetUpdate, SourcePosition, UpdateBatch, WatchTopic};
@@ -53,11 +54,13 @@
     pub(super) restore_asked_at: Option<PolicyTime>,
     /// When the shares of the regions were last logged.
     shares_logged_at: Option<PolicyTime>,
+    retry_report: RetryReport,
 }
 
 impl StateActor {
     pub(crate) fn new(state: Arc<FrontState>) -> Self {
-        Self { state, restore_asked_at: None, shares_logged_at: None }
+        let retry_report = RetryReport::default();
+        Self { state, restore_asked_at: None, shares_logged_at: None, retry_report }
     }
 }
 
@@ -180,6 +183,7 @@
         self.state.check_reachability(now);
         self.update_demand(now);
         self.log_shares(now);
+        self.report_retries(now);
         if self.state.steering().take_settled(now) {
             log::info!("event=restore-settled");
             self.state.is_behind.iter().for_each(Notify::notify_one);
@@ -242,6 +246,13 @@
         }
     }
 
+    fn report_retries(&mut self, now: PolicyTime) {
+        for (service, figures) in self.state.steering().retry_figures(now) {
+            let metrics = self.state.metrics.retry_budget();
+            self.retry_report.record(now, metrics, service, figures);
+        }
+    }
+
     fn apply_list(&self, topic: WatchTopic, batch: UpdateBatch) {
         let now = self.state.clock.now();
         let position = batch.position;
--- a/crates/jackdawmux_policy/src/fleet/retry_share.rs
+++ b/crates/jackdawmux_policy/src/fleet/retry_share.rs
@@ -22,6 +22,21 @@
     retries: u32,
 }
 
+/// State of the retry budget of one service, for metrics and logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RetryFigures {
+    /// Requests that the share was computed from, since the start of the process.
+    pub requests: u64,
+    /// Retries that were taken from the share, since the start of the process.
+    pub retries: u64,
+    /// Retries that the share did not allow, since the start of the process.
+    pub refused: u64,
+    /// Retries that the share allows now.
+    pub allowance: f64,
+    /// Number of instances that the slack is divided by.
+    pub instances: usize,
+}
+
 /// First attempts and retries of one service in a sliding window.
 ///
 /// The ratio applies to this instance's own requests, and the slack is divided by the number of
@@ -30,29 +45,48 @@
 #[derive(Clone, Debug, Default)]
 pub struct RetryShare {
     slices: VecDeque<WindowSlice>,
+    total: RetryFigures,
 }
 
 impl RetryShare {
     /// Counts the first attempt of a request.
     pub fn count_request(&mut self, now: PolicyTime, window: Duration) {
         self.slice(now, window).requests += 1;
+        self.total.requests += 1;
     }
 
     /// Takes one retry from this instance's share. Returns `false` if the share is used up.
     pub fn spend(&mut self, now: PolicyTime, bounds: &FleetBounds, instances: usize) -> bool {
         self.slice(now, bounds.retry_window);
-        let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
-        let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
-        let instance_count = f64::from(u32::try_from(instances.max(1)).unwrap_or(u32::MAX));
-        let allowed = f64::from(requests) * bounds.retry_ratio * RATIO_MARGIN
-            + bounds.retry_slack * SLACK_MARGIN / instance_count;
-        if f64::from(retries) + 1.0 > allowed {
+        if self.allowance(bounds, instances) < 1.0 {
+            self.total.refused += 1;
             return false;
         }
         self.slice(now, bounds.retry_window).retries += 1;
+        self.total.retries += 1;
         true
     }
 
+    /// Returns what was counted since the start of the process, and what the share allows now.
+    pub fn figures(
+        &mut self,
+        now: PolicyTime,
+        bounds: &FleetBounds,
+        instances: usize,
+    ) -> RetryFigures {
+        self.slice(now, bounds.retry_window);
+        RetryFigures { allowance: self.allowance(bounds, instances), instances, ..self.total }
+    }
+
+    fn allowance(&self, bounds: &FleetBounds, instances: usize) -> f64 {
+        let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
+        let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
+        let instance_count = f64::from(u32::try_from(instances.max(1)).unwrap_or(u32::MAX));
+        f64::from(requests) * bounds.retry_ratio * RATIO_MARGIN
+            + bounds.retry_slack * SLACK_MARGIN / instance_count
+            - f64::from(retries)
+    }
+
     fn slice(&mut self, now: PolicyTime, window: Duration) -> &mut WindowSlice {
         let width = window / SLICES;
         // A slice counts until its last retry has left the window.
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -40,7 +40,7 @@
 use super::region_demand::ServiceDemand;
 use super::region_share::{RegionShares, ShareShift, region_shares};
 use super::restore::RestoreTracker;
-use super::retry_share::RetryShare;
+use super::retry_share::{RetryFigures, RetryShare};
 use super::routing::RouteTable;
 use super::split::SplitTable;
 use crate::clock::PolicyTime;
@@ -408,6 +408,15 @@
         &mut self.crashes
     }
 
+    /// Returns the state of the retry budget of each service that got requests, for metrics and logs.
+    pub fn retry_figures(&mut self, now: PolicyTime) -> Vec<(&str, RetryFigures)> {
+        let (bounds, instances) = (&self.bounds, self.instances.len());
+        let figures = self.services.iter_mut().map(|(name, service)| {
+            (name.as_str(), service.retries.figures(now, bounds, instances))
+        });
+        figures.filter(|(_, figures)| figures.requests > 0).collect()
+    }
+
     /// Returns the estimated load of an endpoint as a multiple of its slots.
     #[must_use]
     pub fn load(&self, now: PolicyTime, service: &str, key: EndpointKey) -> Option<f64> {
--- a/crates/jackdawmux_runtime/src/lib.rs
+++ b/crates/jackdawmux_runtime/src/lib.rs
@@ -21,7 +21,7 @@
 pub use headers::strip_hop_by_hop_headers;
 pub use listener::{CallerListener, ListenerLimits};
 pub use log_writer::{LogDrain, LogWriter, init_logging};
-pub use metrics::{CapMetrics, MetricsError, ProcessMetrics};
+pub use metrics::{CapMetrics, MetricsError, ProcessMetrics, RetryBudgetMetrics};
 pub use read_ahead::ReadAheadFilter;
 pub use sockets::{StreamKind, configure_caller_stream, configure_stream, connect};
 pub use stop_signal::StopSignal;
--- a/crates/jackdawmux_runtime/src/metrics.rs
+++ b/crates/jackdawmux_runtime/src/metrics.rs
@@ -52,6 +52,37 @@
     }
 }
 
+/// Metrics of the retry budget, by service.
+#[derive(Clone, Debug)]
+pub struct RetryBudgetMetrics {
+    requests: Counter<u64>,
+    retries: Counter<u64>,
+    allowance: Gauge<f64>,
+    instances: Gauge<u64>,
+}
+
+impl RetryBudgetMetrics {
+    /// Counts requests that the budget is computed from.
+    pub fn count_requests(&self, service: &str, count: u64) {
+        self.requests.add(count, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Counts retries by `outcome`: `taken`, or `refused` if the budget was used up.
+    pub fn count_retries(&self, service: &str, outcome: &'static str, count: u64) {
+        let labels =
+            [KeyValue::new("service", service.to_owned()), KeyValue::new("outcome", outcome)];
+        self.retries.add(count, &labels);
+    }
+
+    /// Sets the number of retries that the budget allows now, and the number of instances that the
+    /// slack is divided by.
+    pub fn set_allowance(&self, service: &str, allowance: f64, instances: u64) {
+        let labels = [KeyValue::new("service", service.to_owned())];
+        self.allowance.record(allowance, &labels);
+        self.instances.record(instances, &labels);
+    }
+}
+
 /// Metrics of one instance.
 #[derive(Debug)]
 pub struct ProcessMetrics {
@@ -70,6 +101,7 @@
     permission_age: Gauge<f64>,
     alarms: Counter<u64>,
     caps: CapMetrics,
+    retry_budget: RetryBudgetMetrics,
 }
 
 impl ProcessMetrics {
@@ -106,6 +138,12 @@
                 tokens: meter.u64_counter("jackdawmux_cap_tokens").build(),
                 datagrams: meter.u64_counter("jackdawmux_cap_datagrams").build(),
             },
+            retry_budget: RetryBudgetMetrics {
+                requests: meter.u64_counter("jackdawmux_retry_budget_requests").build(),
+                retries: meter.u64_counter("jackdawmux_retry_budget_retries").build(),
+                allowance: meter.f64_gauge("jackdawmux_retry_budget_allowance").build(),
+                instances: meter.u64_gauge("jackdawmux_retry_budget_instances").build(),
+            },
             registry,
             _provider: provider,
         })
@@ -184,6 +222,12 @@
         &self.caps
     }
 
+    /// Returns the metrics of the retry budget.
+    #[must_use]
+    pub const fn retry_budget(&self) -> &RetryBudgetMetrics {
+        &self.retry_budget
+    }
+
     /// Renders all metrics in the Prometheus text format.
     #[must_use]
     pub fn render(&self) -> String {
