--- a/crates/jackdawmux_policy/tests/endpoint_limits.rs
+++ b/crates/jackdawmux_policy/tests/endpoint_limits.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use fleet_fixtures::{SERVICE, endpoint, route, steering};
+use fleet_fixtures::{SERVICE, bounds, config, endpoint, regions, route, steering};
 use jackdawmux_policy::clock::PolicyTime;
 use jackdawmux_policy::fleet::choice::{
     ChoiceRefusalReason, EndpointChoice, EndpointKey, EndpointNotice, EndpointQuery,
@@ -195,6 +195,24 @@
     many_instances_and_a_high_limit: 118 instances, 22.5 per second;
 }
 
+/// Guards against a fleet of instances of which each takes the whole rate, because it has not read
+/// which others there are.
+#[test]
+fn instances_that_know_no_others_keep_to_the_limit() {
+    let mut fleet = LimitedFleet::new(118);
+    for (index, front) in fleet.fronts.iter_mut().enumerate() {
+        *front = FleetSteering::new(&format!("front-{index:04}"), "a", regions(), bounds());
+        assert!(front.apply_config(config(1)));
+        for index in 0..3 {
+            front.apply_endpoint(at(1), endpoint(index));
+        }
+    }
+    fleet.state_limit(3.2);
+    fleet.run(0, 33_000);
+    let most = fleet.most_in_window(STABILITY_MS);
+    assert!(most <= allowed(3.2), "{most} in a window, {}", allowed(3.2));
+}
+
 #[test]
 fn an_endpoint_without_a_limit_is_used_in_full_again() {
     let mut fleet = LimitedFleet::new(7);
--- a/crates/jackdawmux_policy/tests/fleet_rules.rs
+++ b/crates/jackdawmux_policy/tests/fleet_rules.rs
@@ -230,6 +230,27 @@
     }
 }
 
+/// Guards against a fleet of instances of which each takes the whole rate of a cold endpoint, because
+/// it has not read which others there are.
+#[test]
+fn instances_that_know_no_others_keep_to_the_rate_of_a_cold_endpoint() {
+    let cold = jackdawmux_policy::fleet::record::EndpointRecord {
+        cold_left: Duration::from_secs(60),
+        ..endpoint(0)
+    };
+    let mut sent = 0;
+    for name in names(89) {
+        let mut front = FleetSteering::new(&name, "a", regions(), bounds());
+        assert!(front.apply_config(config(1)));
+        front.apply_endpoint(at(0), cold.clone());
+        sent += (2_000..2_900)
+            .step_by(100)
+            .filter(|millis| probe(&mut front, at(*millis), *millis).is_some())
+            .count();
+    }
+    assert!(sent <= 30, "{sent} requests in a second");
+}
+
 /// Event at one of the instances of a fleet.
 #[derive(Clone, Copy, Debug)]
 enum FleetEvent {
