front: a request counts once towards the retry budget

Callers saw: nothing at first; endpoints got more retries than the operator allows (BUDGET), which keeps overloaded endpoints overloaded. Cause: choosing an endpoint counted the request, and a request whose connections fail is chosen an endpoint for again while nothing was delivered: up to four times here, and once more at a peer that it is forwarded to. Flaps, crashes and cuts therefore raised the budget in the moments in which retries are made. Fix: the instance that the caller sent the request to counts it once, when it first offers it to an endpoint or a peer; a forwarded request was counted where it came from. The sample of requests bound to a region had the same cause and is taken at the first choice only. Ruled out: counting also requests that are refused without an attempt; the limit would allow it, but callers who are refused and come back would raise the retries of an overloaded service.

--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -12,6 +12,7 @@
 use jackdawmux_policy::fleet::placement::LookupSpread;
 use jackdawmux_policy::fleet::record::TeamRecord;
 use jackdawmux_policy::fleet::relay::{ReadPath, RelaySuspicions};
+use jackdawmux_policy::fleet::retry_share::RetryFigures;
 use jackdawmux_policy::fleet::steering::FleetSteering;
 use jackdawmux_runtime::{ListenerLimits, ProcessClock, ProcessMetrics};
 use strum::{Display, EnumCount, FromRepr};
@@ -173,6 +174,14 @@
         self.steering.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the state of the retry budget of a service; none if it has got no requests.
+    #[must_use]
+    pub fn retry_figures(&self, service: &str) -> Option<RetryFigures> {
+        let mut steering = self.steering();
+        let mut figures = steering.retry_figures(self.clock.now()).into_iter();
+        figures.find(|(name, _)| *name == service).map(|(_, figures)| figures)
+    }
+
     /// Locks the record of the changes that this instance and its peers have applied.
     pub(crate) fn freshness(&self) -> MutexGuard<'_, FreshnessTracker> {
         self.freshness.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -98,6 +98,8 @@
     pub(super) access: RequestAccess,
     /// Token of the team's request cap; taken once, before the first attempt at an endpoint.
     cap_permit: Option<CapPermit>,
+    /// Whether the request was counted towards the retry budget.
+    is_counted: bool,
     attempted: SmallVec<[EndpointKey; 4]>,
     /// Attempts of which bytes reached an endpoint.
     pub(super) delivered: u32,
@@ -117,8 +119,20 @@
         let delivered = plan.hop.as_ref().map_or(0, |hop| hop.delivered);
         let (attempted, peers) = (SmallVec::new(), SmallVec::new());
         let access = plan.access.clone();
-        let cap_permit = None;
-        Self { state, plan, body, log_entry, sent, access, cap_permit, attempted, delivered, peers }
+        Self {
+            state,
+            plan,
+            body,
+            log_entry,
+            sent,
+            access,
+            cap_permit: None,
+            // The instance that forwarded the request has counted it.
+            is_counted: plan.hop.is_some(),
+            attempted,
+            delivered,
+            peers,
+        }
     }
 
     /// Makes attempts until a response is final or no further attempt is allowed.
@@ -141,6 +155,7 @@
                     break;
                 }
             };
+            self.count_request();
             if self.log_entry.attempt_count() > 0 {
                 self.state.metrics.count_retry(&self.plan.service);
             }
@@ -182,6 +197,13 @@
         }
     }
 
+    fn count_request(&mut self) {
+        if !std::mem::replace(&mut self.is_counted, true) {
+            let now = self.state.clock.now();
+            self.state.steering().count_request(now, &self.plan.service);
+        }
+    }
+
     /// Digest by which a repeated request is recognised.
     fn digest(&self) -> u64 {
         let body =
--- a/crates/jackdawmux_policy/src/fleet/retry_share.rs
+++ b/crates/jackdawmux_policy/src/fleet/retry_share.rs
@@ -49,7 +49,7 @@
 }
 
 impl RetryShare {
-    /// Counts the first attempt of a request.
+    /// Counts a request.
     pub fn count_request(&mut self, now: PolicyTime, window: Duration) {
         self.slice(now, window).requests += 1;
         self.total.requests += 1;
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -254,6 +254,13 @@
         self.splits.next(version, route)
     }
 
+    /// Counts a request towards the retry budget of its service. The instance that a caller sent it to
+    /// does so once, however many endpoints and peers it is offered to.
+    pub fn count_request(&mut self, now: PolicyTime, service: &str) {
+        let service = self.services.entry(service.to_owned()).or_default();
+        service.retries.count_request(now, self.bounds.retry_window);
+    }
+
     /// Chooses an endpoint and counts the request as in flight there.
     ///
     /// # Errors
@@ -292,8 +299,7 @@
         if query.is_retry && !service.retries.spend(now, &self.bounds, instances) {
             return Err(refuse(ChoiceRefusalReason::RetryBudget, FULL_RETRY_AFTER));
         }
-        if !query.is_retry {
-            service.retries.count_request(now, self.bounds.retry_window);
+        if query.attempted.is_empty() {
             service.homed.record(now, service.endpoints[index].region, query.is_bound());
         }
         let share = self.start_share(query);
--- a/crates/jackdawmux_policy/tests/fleet_rules.rs
+++ b/crates/jackdawmux_policy/tests/fleet_rules.rs
@@ -336,6 +336,7 @@
                     let front = &mut fleet[front % fronts];
                     if let Ok(choice) = front.choose(at(now), &query(&route, now)) {
                         requests.push(now);
+                        front.count_request(at(now), SERVICE);
                         front.finish(at(now), SERVICE, choice.key, AttemptOutcome::Cancelled, None);
                     }
                     let again = EndpointQuery { is_retry: true, ..query(&route, now) };
--- a/crates/jackdawmux_policy/tests/retry_budget.rs
+++ b/crates/jackdawmux_policy/tests/retry_budget.rs
@@ -112,6 +112,9 @@
             let Ok(choice) = steering.choose(now, &query) else {
                 return;
             };
+            if attempt == 0 {
+                steering.count_request(now, SERVICE);
+            }
             if is_retry {
                 self.retries.push(at_ms);
             }
