policy: no share of a limit until the list of instances has been read

Cause: an instance began with a list that names only itself, and serves as soon as it knows a configuration and an endpoint; the list of instances is another topic. Fix: there is no list until a complete one has been read that names this instance; until then it has no share of the slack, is no sender to a cold endpoint and holds off endpoints with a limit. A list that comes later updates the pace at once, not with the endpoint's next response. Changed tests: fixtures of the directory read a list in place of single registrations; no check changed.

--- a/crates/jackdawmux_front/src/process/retry_report.rs
+++ b/crates/jackdawmux_front/src/process/retry_report.rs
@@ -46,8 +46,13 @@
         metrics.count_requests(service, since(figures.requests, before.requests));
         metrics.count_retries(service, "taken", since(figures.retries, before.retries));
         metrics.count_retries(service, "refused", since(figures.refused, before.refused));
-        let instances = u64::try_from(figures.instances).unwrap_or(u64::MAX);
-        metrics.set_allowance(service, figures.allowance, instances);
+        // Zero while the list of instances has not been read.
+        let instances = figures.instances.unwrap_or(0);
+        metrics.set_allowance(
+            service,
+            figures.allowance,
+            u64::try_from(instances).unwrap_or(u64::MAX),
+        );
         let logged = reported.logged;
         let retries = since(figures.retries, logged.retries);
         let refused = since(figures.refused, logged.refused);
@@ -60,7 +65,7 @@
              allowance={:.1} instances={} elapsed_ms={}",
             since(figures.requests, logged.requests),
             figures.allowance,
-            figures.instances,
+            instances,
             elapsed.as_millis()
         );
         (reported.logged, reported.logged_at) = (figures, now);
--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -438,8 +438,11 @@
         let directory = self.state.directory();
         let (names, domains) = (directory.names(), directory.domains());
         drop(directory);
+        let now = self.state.clock.now();
         let mut steering = self.state.steering();
-        steering.set_instances(names);
+        if let Some(names) = names {
+            steering.set_instances(now, names);
+        }
         steering.set_instance_domains(domains.iter().map(String::as_str));
         let is_ready = steering.table().is_some() && steering.endpoint_count() > 0;
         drop(steering);
--- a/crates/jackdawmux_policy/src/fleet/cold_start.rs
+++ b/crates/jackdawmux_policy/src/fleet/cold_start.rs
@@ -20,7 +20,8 @@
 /// a sender.
 ///
 /// Senders are selected by rendezvous hashing over the registered instances, so that the sum does
-/// not grow with the number of instances and no coordination between them is needed.
+/// not grow with the number of instances and no coordination between them is needed. While no list of
+/// instances has been read, this one is no sender.
 #[must_use]
 pub fn cold_share(
     endpoint: &str,
@@ -29,7 +30,7 @@
     service: &ServiceRecord,
     bounds: &FleetBounds,
 ) -> f64 {
-    if sender_rank(endpoint, own, instances) >= MAX_SENDERS {
+    if instances.is_empty() || sender_rank(endpoint, own, instances) >= MAX_SENDERS {
         return 0.0;
     }
     let senders = u32::try_from(instances.len().clamp(1, MAX_SENDERS)).unwrap_or(1);
--- a/crates/jackdawmux_policy/src/fleet/directory.rs
+++ b/crates/jackdawmux_policy/src/fleet/directory.rs
@@ -74,6 +74,8 @@
     own: String,
     regions: Arc<BTreeMap<String, String>>,
     registered: BTreeMap<String, InstanceRecord>,
+    /// Whether a complete list of the registrations has been read.
+    is_listed: bool,
     heartbeats: HashMap<String, HeartbeatState>,
     /// Instances, possibly this one, that reach no endpoint.
     isolated: HashSet<String>,
@@ -94,6 +96,7 @@
             own: own.to_owned(),
             regions,
             registered: BTreeMap::new(),
+            is_listed: false,
             heartbeats: HashMap::new(),
             isolated: HashSet::new(),
             first_seen: HashMap::new(),
@@ -132,6 +135,7 @@
     /// Replaces all registrations by a complete list. `keeps_missing` is set after a restore of the
     /// source, while instances that the list lacks may not have registered again yet.
     pub fn replace(&mut self, records: Vec<InstanceRecord>, keeps_missing: bool) {
+        self.is_listed = true;
         if !keeps_missing {
             self.registered.clear();
         }
@@ -247,16 +251,14 @@
         last_seen.is_some_and(|at| now.since(at) > ABANDONED_TIMEOUT)
     }
 
-    /// Returns the names of all registered instances, including this one. Crashed instances stay
-    /// until their registration is removed, so that a crash does not increase the shares of the
-    /// others.
+    /// Returns the names of all registered instances; `None` until a complete list has been read and this
+    /// instance is in it. A list from before its registration may be from before the others'. Crashed
+    /// instances stay until their registration is removed, so that a crash does
+    /// not increase the shares of the others.
     #[must_use]
-    pub fn names(&self) -> Vec<String> {
-        let mut names: Vec<String> = self.registered.keys().cloned().collect();
-        if !self.registered.contains_key(&self.own) {
-            names.push(self.own.clone());
-        }
-        names
+    pub fn names(&self) -> Option<Vec<String>> {
+        let is_known = self.is_listed && self.is_registered();
+        is_known.then(|| self.registered.keys().cloned().collect())
     }
 
     /// Returns the failure domain of a registered instance.
--- a/crates/jackdawmux_policy/src/fleet/endpoint_limit.rs
+++ b/crates/jackdawmux_policy/src/fleet/endpoint_limit.rs
@@ -22,6 +22,8 @@
 const PROBE_SHARE: f64 = 0.1;
 /// Number of senders in addition to one for each request per second of the rate.
 const MIN_SENDERS: usize = 4;
+/// How long requests are held off at a time while no list of instances has been read.
+const UNKNOWN_SHARE_WAIT: Duration = Duration::from_millis(400);
 /// Time for which a probe that is due may be sent. Without it, all probes that fell due while there
 /// was no demand would be sent at the same moment.
 const PROBE_WINDOW: Duration = Duration::from_secs(4);
@@ -59,9 +61,13 @@
 }
 
 impl LimitShare {
-    fn new(endpoint: &str, own: &str, instances: &[String], rate: LimitRate) -> Self {
+    /// Returns the share of the instance `own`; `None` while no list of instances has been read.
+    fn new(endpoint: &str, own: &str, instances: &[String], rate: LimitRate) -> Option<Self> {
         let rate = rate.as_per_second().max(MIN_RATE);
-        let total = instances.len().max(1);
+        let total = instances.len();
+        if total == 0 {
+            return None;
+        }
         let whole_rate = Duration::from_secs_f64(rate).as_secs();
         let senders = usize::try_from(whole_rate).unwrap_or(usize::MAX).saturating_add(MIN_SENDERS);
         let senders = senders.min(total);
@@ -72,7 +78,7 @@
             (total - senders, rate * PROBE_SHARE)
         };
         let group = f64::from(u32::try_from(group.max(1)).unwrap_or(u32::MAX));
-        Self { interval: Duration::from_secs_f64(group / group_rate), is_sender }
+        Some(Self { interval: Duration::from_secs_f64(group / group_rate), is_sender })
     }
 }
 
@@ -80,7 +86,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct LimitPacer {
     rate: LimitRate,
-    share: LimitShare,
+    /// `None` while no list of instances has been read.
+    share: Option<LimitShare>,
     next_at: PolicyTime,
 }
 
@@ -96,9 +103,7 @@
         rate: LimitRate,
     ) -> Self {
         let share = LimitShare::new(endpoint, own, instances, rate);
-        let draw = mix64(stable_hash(endpoint.as_bytes()) ^ mix64(stable_hash(own.as_bytes())));
-        let phase = f64::from(u32::try_from(draw >> 32).unwrap_or(u32::MAX)) / f64::from(u32::MAX);
-        Self { rate, share, next_at: now + share.interval.mul_f64(phase) }
+        Self { rate, share, next_at: first_due(now, endpoint, own, share) }
     }
 
     /// Returns the rate that the endpoint states.
@@ -117,8 +122,12 @@
         rate: LimitRate,
     ) {
         let share = LimitShare::new(endpoint, own, instances, rate);
-        if share != self.share {
-            self.next_at = self.next_at.min(now + share.interval);
+        match (self.share, share) {
+            (None, share) => self.next_at = first_due(now, endpoint, own, share),
+            (before, Some(share)) if before != Some(share) => {
+                self.next_at = self.next_at.min(now + share.interval);
+            }
+            _ => {}
         }
         (self.rate, self.share) = (rate, share);
     }
@@ -126,14 +135,17 @@
     /// Returns how long no request may be sent; zero if one may be sent now.
     #[must_use]
     pub fn wait(&self, now: PolicyTime) -> Duration {
+        let Some(share) = self.share else {
+            return UNKNOWN_SHARE_WAIT;
+        };
         if now < self.next_at {
             return self.next_at.since(now);
         }
-        if self.share.is_sender {
+        if share.is_sender {
             return Duration::ZERO;
         }
         let overdue = now.since(self.next_at).as_secs_f64();
-        let interval = self.share.interval.as_secs_f64();
+        let interval = share.interval.as_secs_f64();
         let into_turn = overdue % interval;
         if into_turn < PROBE_WINDOW.as_secs_f64() {
             return Duration::ZERO;
@@ -143,6 +155,14 @@
 
     /// Records that a request is sent.
     pub fn record_sent(&mut self, now: PolicyTime) {
-        self.next_at = now + self.share.interval;
+        self.next_at = now + self.share.map_or(UNKNOWN_SHARE_WAIT, |share| share.interval);
     }
 }
+
+/// Returns when the first request is due: after a part of the interval that differs between
+/// instances.
+fn first_due(now: PolicyTime, endpoint: &str, own: &str, share: Option<LimitShare>) -> PolicyTime {
+    let draw = mix64(stable_hash(endpoint.as_bytes()) ^ mix64(stable_hash(own.as_bytes())));
+    let phase = f64::from(u32::try_from(draw >> 32).unwrap_or(u32::MAX)) / f64::from(u32::MAX);
+    now + share.map_or(Duration::ZERO, |share| share.interval.mul_f64(phase))
+}
--- a/crates/jackdawmux_policy/src/fleet/mod.rs
+++ b/crates/jackdawmux_policy/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 pub mod forwarding;
 pub mod freshness;
 pub mod homed_load;
+pub mod instance_list;
 mod notices;
 pub mod outlier;
 pub mod permission;
--- a/crates/jackdawmux_policy/src/fleet/retry_share.rs
+++ b/crates/jackdawmux_policy/src/fleet/retry_share.rs
@@ -33,8 +33,8 @@
     pub refused: u64,
     /// Retries that the share allows now.
     pub allowance: f64,
-    /// Number of instances that the slack is divided by.
-    pub instances: usize,
+    /// Number of instances that the slack is divided by; none until their list has been read.
+    pub instances: Option<usize>,
 }
 
 /// First attempts and retries of one service in a sliding window.
@@ -56,7 +56,12 @@
     }
 
     /// Takes one retry from this instance's share. Returns `false` if the share is used up.
-    pub fn spend(&mut self, now: PolicyTime, bounds: &FleetBounds, instances: usize) -> bool {
+    pub fn spend(
+        &mut self,
+        now: PolicyTime,
+        bounds: &FleetBounds,
+        instances: Option<usize>,
+    ) -> bool {
         self.slice(now, bounds.retry_window);
         if self.allowance(bounds, instances) < 1.0 {
             self.total.refused += 1;
@@ -72,19 +77,20 @@
         &mut self,
         now: PolicyTime,
         bounds: &FleetBounds,
-        instances: usize,
+        instances: Option<usize>,
     ) -> RetryFigures {
         self.slice(now, bounds.retry_window);
         RetryFigures { allowance: self.allowance(bounds, instances), instances, ..self.total }
     }
 
-    fn allowance(&self, bounds: &FleetBounds, instances: usize) -> f64 {
+    fn allowance(&self, bounds: &FleetBounds, instances: Option<usize>) -> f64 {
         let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
         let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
-        let instance_count = f64::from(u32::try_from(instances.max(1)).unwrap_or(u32::MAX));
-        f64::from(requests) * bounds.retry_ratio * RATIO_MARGIN
-            + bounds.retry_slack * SLACK_MARGIN / instance_count
-            - f64::from(retries)
+        let slack = instances.map_or(0.0, |instances| {
+            let count = u32::try_from(instances.max(1)).unwrap_or(u32::MAX);
+            bounds.retry_slack * SLACK_MARGIN / f64::from(count)
+        });
+        f64::from(requests) * bounds.retry_ratio * RATIO_MARGIN + slack - f64::from(retries)
     }
 
     fn slice(&mut self, now: PolicyTime, window: Duration) -> &mut WindowSlice {
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -33,6 +33,7 @@
 use super::expected_wait::WorkTime;
 use super::fair_share::FairShare;
 use super::homed_load::HomedLoad;
+use super::instance_list::InstanceList;
 use super::notices::{EndpointIncarnation, NoticeRegister};
 use super::outlier::AttemptOutcome;
 use super::reachability::{Reachability, ReachabilityTracker};
@@ -111,7 +112,7 @@
     table: Option<Arc<RouteTable>>,
     services: HashMap<String, ServiceState>,
     evacuated: HashSet<String>,
-    instances: Vec<String>,
+    instances: InstanceList,
     /// Number of registered instances by region.
     region_members: Vec<usize>,
     splits: SplitTable,
@@ -152,7 +153,7 @@
             table: None,
             services: HashMap::new(),
             evacuated: HashSet::new(),
-            instances: vec![own.to_owned()],
+            instances: InstanceList::default(),
             splits: SplitTable::default(),
             outage: None,
             restore: RestoreTracker::default(),
@@ -193,9 +194,18 @@
         is_newer
     }
 
-    /// Sets the names of the registered instances, among which limits are divided.
-    pub fn set_instances(&mut self, names: Vec<String>) {
-        self.instances = names;
+    /// Sets the names of the registered instances, among which limits are divided, once a complete
+    /// list of them is known.
+    pub fn set_instances(&mut self, now: PolicyTime, names: Vec<String>) {
+        let is_changed = self.instances.names() != names;
+        self.instances.replace(now, names, self.bounds.retry_window);
+        if !is_changed {
+            return;
+        }
+        let endpoints = self.services.values_mut().flat_map(|service| &mut service.endpoints);
+        for state in endpoints.filter(|state| state.pacer.is_some()) {
+            state.apply_notice(now, state.stated, &self.own, self.instances.names());
+        }
     }
 
     /// Replaces the bounds after a reload of the settings.
@@ -291,7 +301,7 @@
         }
         let (rank, index) = self.pick(now, query, &candidates, has_idle)?;
         self.admit(now, query, index)?;
-        let instances = self.instances.len();
+        let instances = self.instances.divisor();
         let is_by_wait = self.is_steered_by_wait(query.service);
         let expected_wait =
             if is_by_wait { self.expected_wait(now, query.service, index) } else { Duration::ZERO };
@@ -392,7 +402,7 @@
         // A late response of an earlier incarnation says nothing about the present one.
         let endpoints = self.services.values_mut().flat_map(|service| &mut service.endpoints);
         for state in endpoints.filter(|state| state.incarnation() == incarnation) {
-            state.apply_notice(now, stated, &self.own, &self.instances);
+            state.apply_notice(now, stated, &self.own, self.instances.names());
         }
         match (notice.retry_after, stated.limit) {
             _ if notice.is_leaving && !before.is_leaving => NoticeEffect::Leaving,
@@ -416,7 +426,7 @@
 
     /// Returns the state of the retry budget of each service that got requests, for metrics and logs.
     pub fn retry_figures(&mut self, now: PolicyTime) -> Vec<(&str, RetryFigures)> {
-        let (bounds, instances) = (&self.bounds, self.instances.len());
+        let (bounds, instances) = (&self.bounds, self.instances.divisor());
         let figures = self.services.iter_mut().map(|(name, service)| {
             (name.as_str(), service.retries.figures(now, bounds, instances))
         });
@@ -633,7 +643,7 @@
         let endpoint = self.services.get(service).and_then(|state| state.endpoints.get(index));
         match (endpoint, self.service_record(service)) {
             (Some(state), Some(record)) => {
-                cold_share(&state.id, &self.own, &self.instances, record, &self.bounds)
+                cold_share(&state.id, &self.own, self.instances.names(), record, &self.bounds)
             }
             _ => 0.0,
         }
--- a/crates/jackdawmux_policy/src/fleet/steering/registrations.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering/registrations.rs
@@ -113,7 +113,7 @@
         let service = self.services.entry(record.service.clone()).or_default();
         let Some(state) = service.endpoints.iter_mut().find(|state| state.key == key) else {
             let mut state = EndpointState::new(record, region, now);
-            state.apply_notice(now, stated, &self.own, &self.instances);
+            state.apply_notice(now, stated, &self.own, self.instances.names());
             service.endpoints.push(state);
             return EndpointChange::Joined;
         };
@@ -125,7 +125,7 @@
         if change == EndpointChange::Restarted || state.record.address != record.address {
             let in_flight = state.in_flight;
             *state = EndpointState::new(record, region, now);
-            state.apply_notice(now, stated, &self.own, &self.instances);
+            state.apply_notice(now, stated, &self.own, self.instances.names());
             state.in_flight = in_flight;
             return change;
         }
--- a/crates/jackdawmux_policy/tests/fleet_rules.rs
+++ b/crates/jackdawmux_policy/tests/fleet_rules.rs
@@ -415,9 +415,9 @@
         .into();
     let mut directory = InstanceDirectory::new("one", Arc::new(regions));
     directory.set_serving(true);
-    for (name, domain, capacity) in [("one", "a", 200), ("two", "b", 600), ("far", "c", 400)] {
-        directory.register(instance(name, domain, capacity));
-    }
+    let instances = [("one", "a", 200), ("two", "b", 600), ("far", "c", 400)];
+    let records = instances.map(|(name, domain, capacity)| instance(name, domain, capacity));
+    directory.replace(records.into(), false);
     directory
 }
 
@@ -441,10 +441,20 @@
     assert_eq!(live_names(&directory, at(2_400)), ["one"]);
 }
 
+/// Guards against shares among the few instances that a list from before the own registration names.
+#[test]
+fn a_list_without_the_own_registration_says_nothing_about_the_number_of_instances() {
+    let mut directory = directory();
+    directory.replace(vec![instance("two", "b", 600)], false);
+    assert_eq!(directory.names(), None);
+    directory.register(instance("one", "a", 200));
+    assert_eq!(directory.names().map(|names| names.len()), Some(2));
+}
+
 #[test]
 fn an_instance_without_heartbeats_still_counts_for_shares() {
     let directory = directory();
-    assert_eq!(directory.names().len(), 3);
+    assert_eq!(directory.names().map(|names| names.len()), Some(3));
 }
 
 #[test]
--- a/crates/jackdawmux_policy/tests/lookup_concentration.rs
+++ b/crates/jackdawmux_policy/tests/lookup_concentration.rs
@@ -19,10 +19,11 @@
         .collect();
     let mut directory = InstanceDirectory::new("front-a-00", Arc::new(regions));
     directory.set_serving(true);
+    let mut records = Vec::new();
     for domain in ["a", "b"] {
         for index in 0..14_u16 {
             let address = SocketAddr::from(([10, 0, 0, 1], index));
-            directory.register(InstanceRecord {
+            records.push(InstanceRecord {
                 name: format!("front-{domain}-{index:02}"),
                 address,
                 heartbeat_address: address,
@@ -33,6 +34,7 @@
             });
         }
     }
+    directory.replace(records, false);
     directory
 }
 
@@ -41,7 +43,7 @@
 }
 
 fn hear(directory: &mut InstanceDirectory, now: PolicyTime, rate: f64, lost: &[&str]) {
-    let names = directory.names();
+    let names = directory.names().expect("a list has been read");
     for name in names.iter().filter(|name| !lost.contains(&name.as_str())) {
         directory.record_heartbeat(now, name, true, true);
         directory.record_request_rate(name, rate);
--- a/crates/jackdawmux_policy/tests/retry_budget.rs
+++ b/crates/jackdawmux_policy/tests/retry_budget.rs
@@ -4,8 +4,6 @@
 #[path = "support/fleet_fixtures.rs"]
 mod fleet_fixtures;
 
-use std::time::Duration;
-
 use fleet_fixtures::{SERVICE, bounds, config, endpoint, regions, route};
 use jackdawmux_policy::clock::PolicyTime;
 use jackdawmux_policy::fleet::choice::{EndpointKey, EndpointQuery};
@@ -71,7 +69,7 @@
     /// An instance that has just started and has read all topics.
     fn start(&self, index: usize, at_ms: u64) -> FleetSteering {
         let mut steering = self.start_without_instances(index, at_ms);
-        steering.set_instances(self.names.clone());
+        steering.set_instances(PolicyTime::from_millis(at_ms), self.names.clone());
         steering
     }
 
@@ -215,3 +213,19 @@
     );
     fleet.check();
 }
+
+/// Guards against shares that grow while instances stop that have used theirs in the same window.
+#[test]
+fn instances_that_left_lately_still_count() {
+    let fleet = BudgetFleet::new(20, fleet_bounds());
+    let mut steering = fleet.start(0, 0);
+    let mut divisor_at = |at_ms: u64| {
+        let now = PolicyTime::from_millis(at_ms);
+        steering.set_instances(now, fleet.names[..10].to_vec());
+        steering.count_request(now, SERVICE);
+        steering.retry_figures(now).first().and_then(|(_, figures)| figures.instances)
+    };
+    assert_eq!(divisor_at(1_000), Some(20));
+    assert_eq!(divisor_at(WINDOW_MS), Some(20));
+    assert_eq!(divisor_at(WINDOW_MS + 1_000), Some(10));
+}
--- a/crates/jackdawmux_policy/tests/support/fleet_fixtures.rs
+++ b/crates/jackdawmux_policy/tests/support/fleet_fixtures.rs
@@ -106,7 +106,7 @@
 pub fn steering(own: &str, domain: &str, names: &[String], endpoints: u16) -> FleetSteering {
     let mut steering = FleetSteering::new(own, domain, regions(), bounds());
     assert!(steering.apply_config(config(1)));
-    steering.set_instances(names.to_vec());
+    steering.set_instances(PolicyTime::default(), names.to_vec());
     for index in 0..endpoints {
         steering.apply_endpoint(PolicyTime::from_millis(1), endpoint(index));
     }
