front: a planned stop answers the requests in progress before it closes their connections

Cause: at the end of the grace period connections were dropped, whatever was in progress on them; and whether a request can end in time was asked when its head arrived, not when its body did. Fix: at 0.9 of the grace period what is in progress gets a final answer: 502 if an endpoint may have run it, 503 (not run, with the time to return) otherwise, and the endpoint's connection is closed. The question is asked again after the body. What an endpoint is already answering is streamed to the end of the stop, as before: a cut there looks cut. Ruled out: refusing all requests whose deadline passes the end from the signal on; most of them end in time.

--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -38,9 +38,12 @@
 /// callers whose lookups are out of date.
 const ACCEPT_SHARE: f64 = 0.7;
 /// Share of the grace period after which a new request is accepted only if its deadline passes before
-/// requests in progress are cut off. Most requests that arrive earlier end in time.
+/// requests in progress are answered. Most requests that arrive earlier end in time.
 const LATE_SHARE: f64 = 0.5;
-/// Share of the grace period after which requests still in progress are cut off.
+/// Share of the grace period after which requests still in progress get a final answer, which must
+/// reach their callers before the connections are closed.
+const ANSWER_SHARE: f64 = 0.9;
+/// Share of the grace period after which connections that are still open are closed.
 const STOP_SHARE: f64 = 0.93;
 /// Heartbeats that announce a stop; several, because a datagram can be lost.
 const STOP_HEARTBEATS: usize = 3;
@@ -259,7 +262,7 @@
         let now = state.clock.now();
         state.plan_stop(PlannedStop {
             late_from: now + grace.mul_f64(LATE_SHARE),
-            cuts_at: now + grace.mul_f64(STOP_SHARE),
+            answers_by: now + grace.mul_f64(ANSWER_SHARE),
         });
         state.enter_phase(FrontPhase::Leaving);
         // Another instance holds the caps once the registration is withdrawn.
--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -1,7 +1,8 @@
 //! State that the parts of a front share.
 
+use std::future::pending;
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use jackdawmux_policy::clock::PolicyTime;
@@ -17,6 +18,7 @@
 use jackdawmux_runtime::{ListenerLimits, ProcessClock, ProcessMetrics};
 use strum::{Display, EnumCount, FromRepr};
 use tokio::sync::{Notify, Semaphore, watch};
+use tokio::time::sleep_until;
 
 use super::cap_service::{CapPermit, CapService};
 use super::connectivity::SourceConnectivity;
@@ -56,8 +58,8 @@
 pub(crate) struct PlannedStop {
     /// From when on a new request is accepted only if it ends in time.
     pub(crate) late_from: PolicyTime,
-    /// When requests in progress are cut off.
-    pub(crate) cuts_at: PolicyTime,
+    /// When requests in progress get a final answer of this process.
+    pub(crate) answers_by: PolicyTime,
 }
 
 /// State that exists for the lifetime of the process.
@@ -107,7 +109,7 @@
     pub(crate) cap_service: Arc<CapService>,
     registered_at: Mutex<Option<SourcePosition>>,
     phase: AtomicU8,
-    stop: OnceLock<PlannedStop>,
+    stop: watch::Sender<Option<PlannedStop>>,
     request_meter: RequestMeter,
 }
 
@@ -163,7 +165,7 @@
             cap_service: Arc::new(cap_service),
             registered_at: Mutex::default(),
             phase: AtomicU8::new(FrontPhase::Starting as u8),
-            stop: OnceLock::new(),
+            stop: watch::Sender::default(),
             request_meter: RequestMeter::default(),
             settings,
         }
@@ -285,16 +287,27 @@
         FrontPhase::from_repr(self.phase.load(Ordering::Relaxed)).unwrap_or(FrontPhase::Starting)
     }
 
-    /// Sets the times of a planned stop. Only the first call has an effect.
+    /// Sets the times of a planned stop.
     pub(crate) fn plan_stop(&self, stop: PlannedStop) {
-        let _first = self.stop.set(stop);
+        self.stop.send_replace(Some(stop));
     }
 
-    /// Whether a request that arrives now may still be in progress when the planned stop cuts off
+    /// Waits until a planned stop leaves only the time to answer the requests in progress.
+    pub(crate) async fn last_answers_due(&self) {
+        let mut receiver = self.stop.subscribe();
+        let stop = receiver.wait_for(Option::is_some).await.ok().and_then(|stop| *stop);
+        match stop {
+            Some(stop) => sleep_until(self.clock.instant(stop.answers_by)).await,
+            None => pending().await,
+        }
+    }
+
+    /// Whether a request that is to be sent now may still be in progress when the planned stop answers
     /// the requests that are left.
     pub(crate) fn may_be_cut(&self, deadline: PolicyTime) -> bool {
         let now = self.clock.now();
-        self.stop.get().is_some_and(|stop| now >= stop.late_from && deadline > stop.cuts_at)
+        let stop = *self.stop.borrow();
+        stop.is_some_and(|stop| now >= stop.late_from && deadline > stop.answers_by)
     }
 
     /// Enters a phase. `FrontPhase::Leaving` is final: later calls have no effect.
--- a/crates/jackdawmux_front/src/request/refusal.rs
+++ b/crates/jackdawmux_front/src/request/refusal.rs
@@ -60,6 +60,8 @@
     Isolated,
     /// The process stops before the request's deadline; it was not run.
     Stopping,
+    /// The process stops while an endpoint may be processing the request.
+    Stopped,
     /// The deadline passed before the request was sent to any endpoint.
     DeadlineUnsent,
     /// The deadline passed while an endpoint may have been processing the request.
@@ -114,7 +116,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken => StatusCode::BAD_REQUEST,
             Self::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
-            Self::UpstreamLost | Self::Poisonous => StatusCode::BAD_GATEWAY,
+            Self::UpstreamLost | Self::Poisonous | Self::Stopped => StatusCode::BAD_GATEWAY,
         }
     }
 
@@ -138,6 +140,7 @@
             | Self::BodyBroken
             | Self::DeadlinePassed
             | Self::Poisonous
+            | Self::Stopped
             | Self::UpstreamLost => None,
         }
     }
--- a/crates/jackdawmux_front/src/request/serve.rs
+++ b/crates/jackdawmux_front/src/request/serve.rs
@@ -85,10 +85,15 @@
     let mut log_entry = AccessLogEntry::default();
     let sent = SentFlag::default();
     let deadline = state.clock.instant(plan.deadline);
-    let served = timeout_at(deadline, forward(state, plan, body, &mut log_entry, &sent)).await;
-    let result = served.unwrap_or_else(|_elapsed| {
-        Err(if sent.is_set() { FrontRefusal::DeadlinePassed } else { FrontRefusal::DeadlineUnsent })
-    });
+    let ended = |if_sent, if_unsent| Err(if sent.is_set() { if_sent } else { if_unsent });
+    let result = tokio::select! {
+        served = timeout_at(deadline, forward(state, plan, body, &mut log_entry, &sent)) => {
+            served.unwrap_or_else(|_elapsed| {
+                ended(FrontRefusal::DeadlinePassed, FrontRefusal::DeadlineUnsent)
+            })
+        }
+        () = state.last_answers_due() => ended(FrontRefusal::Stopped, FrontRefusal::Stopping),
+    };
     match result {
         Ok(response) => {
             log_entry.write(state, plan, response.status(), "upstream");
@@ -120,5 +125,9 @@
     }
     let limit = plan.table.limits().max_body_bytes;
     let body = RequestBody::read(body, limit).await?;
+    // The end of the body may arrive long after its head.
+    if state.may_be_cut(plan.deadline) {
+        return Err(FrontRefusal::Stopping);
+    }
     ForwardTask::new(state, plan, body, log_entry, sent).run().await
 }
