front: attempts that a peer made count towards those of the request

Cause: a peer refuses or declines a forwarded request with a status only; attempts that reached endpoints there were unknown to the front that forwarded it, which offered the request to the next peer with its own count. Class: as for the base of the retry budget, what one instance counted is lost to the one that decides. Fix: a refusal of a forwarded request states how many attempts reached endpoints (header of the hop, removed before the caller). A further attempt is then a retry, or not made. Ruled out: to decline nothing after an attempt, which would refuse callers that another peer can serve.

--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -1,7 +1,7 @@
 //! Forwards a request to endpoints until it has a final response.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use axum::body::Body;
@@ -48,19 +48,32 @@
 /// Minimum remaining time for which another attempt is worthwhile.
 const MIN_RETRY_TIME_LEFT: Duration = Duration::from_millis(40);
 
-/// Whether a byte of the request may have reached an endpoint that has not reported that it did
-/// not run the request.
+/// How far a request has come, for when its forwarding is given up at any point.
 #[derive(Debug, Default)]
-pub(crate) struct SentFlag(AtomicBool);
+pub(crate) struct SendProgress {
+    is_sent: AtomicBool,
+    delivered: AtomicU32,
+}
+
+impl SendProgress {
+    /// Whether a byte of the request may have reached an endpoint that has not reported that it did not
+    /// run the request: one may be running it, or may have run it.
+    pub(crate) fn is_sent(&self) -> bool {
+        self.is_sent.load(Ordering::Relaxed)
+    }
+
+    /// Attempts of which bytes reached an endpoint, including those before a hop.
+    pub(super) fn delivered(&self) -> u32 {
+        self.delivered.load(Ordering::Relaxed)
+    }
 
-impl SentFlag {
-    /// Whether an endpoint may be running the request, or may have run it.
-    pub(crate) fn is_set(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+    pub(super) fn set_sent(&self, is_sent: bool) {
+        self.is_sent.store(is_sent, Ordering::Relaxed);
     }
 
-    pub(super) fn set(&self, is_sent: bool) {
-        self.0.store(is_sent, Ordering::Relaxed);
+    /// Raises the number of attempts that reached an endpoint.
+    pub(super) fn record_delivered(&self, delivered: u32) {
+        self.delivered.fetch_max(delivered, Ordering::Relaxed);
     }
 }
 
@@ -93,7 +106,7 @@
     pub(super) plan: &'task RequestPlan,
     pub(super) body: RequestBody,
     pub(super) log_entry: &'task mut AccessLogEntry,
-    pub(super) sent: &'task SentFlag,
+    pub(super) progress: &'task SendProgress,
     /// The decision about the key for the present attempt.
     pub(super) access: RequestAccess,
     /// Token of the team's request cap; taken once, before the first attempt at an endpoint.
@@ -101,8 +114,6 @@
     /// Whether the request was counted towards the retry budget.
     is_counted: bool,
     attempted: SmallVec<[EndpointKey; 4]>,
-    /// Attempts of which bytes reached an endpoint.
-    pub(super) delivered: u32,
     /// Peers that were offered the request.
     pub(super) peers: SmallVec<[String; 2]>,
 }
@@ -113,10 +124,10 @@
         plan: &'task RequestPlan,
         body: RequestBody,
         log_entry: &'task mut AccessLogEntry,
-        sent: &'task SentFlag,
+        progress: &'task SendProgress,
     ) -> Self {
         // Attempts of the instance that forwarded the request count as well.
-        let delivered = plan.hop.as_ref().map_or(0, |hop| hop.delivered);
+        progress.record_delivered(plan.hop.as_ref().map_or(0, |hop| hop.delivered));
         let (attempted, peers) = (SmallVec::new(), SmallVec::new());
         let access = plan.access.clone();
         Self {
@@ -124,13 +135,12 @@
             plan,
             body,
             log_entry,
-            sent,
+            progress,
             access,
             cap_permit: None,
             // The instance that forwarded the request has counted it.
             is_counted: plan.hop.is_some(),
             attempted,
-            delivered,
             peers,
         }
     }
@@ -180,9 +190,9 @@
                     unreachable += 1;
                 }
             }
-            self.sent.set(may_have_run);
+            self.progress.set_sent(may_have_run);
             let may_retry = (!may_have_run || !self.plan.is_at_most_once())
-                && self.delivered < self.plan.route.max_attempts
+                && self.progress.delivered() < self.plan.route.max_attempts
                 && unreachable < self.max_connect_failures()
                 && self.body.is_sendable()
                 && self.time_left() >= MIN_RETRY_TIME_LEFT;
@@ -316,7 +326,7 @@
             team: self.access.team(),
             object: self.plan.object_hash,
             attempted: &self.attempted,
-            is_retry: self.delivered > 0,
+            is_retry: self.progress.delivered() > 0,
             connected,
             deadline: Some(self.plan.deadline),
         };
@@ -364,7 +374,7 @@
             time_left: self.time_left(),
         };
         let on_send = |is_new| {
-            self.sent.set(true);
+            self.progress.set_sent(true);
             if is_new {
                 self.state.record_connected();
             }
@@ -387,7 +397,7 @@
             }
             ExchangeOutcome::Lost { error } => {
                 log::debug!("event=upstream-lost peer={} error={error:?}", choice.address);
-                self.delivered += 1;
+                self.progress.record_delivered(self.progress.delivered() + 1);
                 if let Some(failure) = self.body.failure() {
                     self.log_entry.record_outcome("body-failed");
                     guard.finish(AttemptOutcome::Cancelled);
@@ -403,7 +413,7 @@
                 AttemptResult::Lost
             }
             ExchangeOutcome::Answered(response, connection) => {
-                self.delivered += 1;
+                self.progress.record_delivered(self.progress.delivered() + 1);
                 let headers =
                     self.state.dialect.read_response(response.status(), response.headers());
                 guard.record_load(headers.load);
--- a/crates/jackdawmux_front/src/request/hop.rs
+++ b/crates/jackdawmux_front/src/request/hop.rs
@@ -9,6 +9,8 @@
 const HOP: HeaderName = HeaderName::from_static("jackdawmux-hop");
 /// Why an instance does not take a forwarded request, which has not run.
 const DECLINED: HeaderName = HeaderName::from_static("jackdawmux-hop-declined");
+/// Attempts that reached endpoints, in the refusal of a forwarded request.
+const DELIVERED: HeaderName = HeaderName::from_static("jackdawmux-hop-delivered");
 /// Start and identity of the endpoint that sent the response.
 const ENDPOINT: HeaderName = HeaderName::from_static("jackdawmux-hop-endpoint");
 
@@ -53,6 +55,17 @@
     Some(headers.remove(DECLINED)?.to_str().unwrap_or_default().to_owned())
 }
 
+/// States in a refusal how many attempts reached endpoints, including those before the hop: they count
+/// towards the attempts of the route wherever the next one is made.
+pub(crate) fn mark_delivered(headers: &mut HeaderMap, delivered: u32) {
+    headers.insert(DELIVERED, delivered.into());
+}
+
+/// Takes the number of attempts that reached endpoints.
+pub(crate) fn take_delivered(headers: &mut HeaderMap) -> Option<u32> {
+    headers.remove(DELIVERED)?.to_str().ok()?.parse().ok()
+}
+
 /// Names the endpoint of a response to the forwarding instance, which must respect what the endpoint
 /// states in it.
 pub(crate) fn mark_endpoint(headers: &mut HeaderMap, choice: &EndpointChoice) {
--- a/crates/jackdawmux_front/src/request/peer_attempt.rs
+++ b/crates/jackdawmux_front/src/request/peer_attempt.rs
@@ -10,7 +10,7 @@
 
 use super::forward::{AttemptResult, ForwardTask};
 use super::guard::AttemptGuard;
-use super::hop::{FORWARD_PREFIX, HopRecord, take_declined, take_endpoint};
+use super::hop::{FORWARD_PREFIX, HopRecord, take_declined, take_delivered, take_endpoint};
 use super::refusal::FrontRefusal;
 use crate::dialect::Credential;
 use crate::upstream::{Exchange, ExchangeOutcome, PooledConnection, exchange};
@@ -60,7 +60,7 @@
         let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
         let hop = HopRecord {
             config_version: self.plan.table.version(),
-            delivered: self.delivered,
+            delivered: self.progress.delivered(),
             origin: self.state.settings.instance.clone(),
         };
         let uri = format!("{FORWARD_PREFIX}{path}").parse();
@@ -77,7 +77,7 @@
             time_left: self.time_left(),
         };
         self.state.metrics.count_forwarded("sent");
-        match exchange(target, request, |_is_new| self.sent.set(true)).await {
+        match exchange(target, request, |_is_new| self.progress.set_sent(true)).await {
             ExchangeOutcome::Unreachable { error, .. } => {
                 log::debug!("event=peer-unreachable peer={} error={error:?}", peer.name);
                 self.log_entry.record_outcome("unreachable");
@@ -93,7 +93,7 @@
                 self.log_entry.record_outcome("lost");
                 self.state.suspect_peer(&peer.name);
                 // The peer may have made all attempts that the route allows.
-                self.delivered = self.plan.route.max_attempts;
+                self.progress.record_delivered(self.plan.route.max_attempts);
                 AttemptResult::Lost
             }
             ExchangeOutcome::Answered(response, connection) => {
@@ -107,6 +107,10 @@
         mut response: Response<Incoming>,
         connection: PooledConnection,
     ) -> AttemptResult {
+        let delivered_before = self.progress.delivered();
+        if let Some(delivered) = take_delivered(response.headers_mut()) {
+            self.progress.record_delivered(delivered);
+        }
         if take_declined(response.headers_mut()).is_some() {
             self.log_entry.record_outcome("declined");
             return AttemptResult::NotRun(FrontRefusal::Isolated);
@@ -119,7 +123,7 @@
                     | StatusCode::UNAUTHORIZED
                     | StatusCode::TOO_MANY_REQUESTS
             );
-        if is_refused && self.delivered > 0 {
+        if is_refused && delivered_before > 0 {
             // The peer does not know of the attempts that were made here.
             self.log_entry.record_outcome("refused");
             return AttemptResult::NotRun(FrontRefusal::Isolated);
@@ -143,7 +147,7 @@
         match self.read_body(response, connection, guard).await {
             AttemptResult::Failed(response) => AttemptResult::Final(response),
             AttemptResult::Lost => {
-                self.delivered = self.plan.route.max_attempts;
+                self.progress.record_delivered(self.plan.route.max_attempts);
                 AttemptResult::Lost
             }
             result => result,
--- a/crates/jackdawmux_front/src/request/serve.rs
+++ b/crates/jackdawmux_front/src/request/serve.rs
@@ -14,8 +14,8 @@
 
 use super::access_log::{AccessLogEntry, write_denial};
 use super::body::RequestBody;
-use super::forward::{ForwardTask, SentFlag};
-use super::hop::mark_declined;
+use super::forward::{ForwardTask, SendProgress};
+use super::hop::{mark_declined, mark_delivered};
 use super::plan::RequestPlan;
 use super::refusal::FrontRefusal;
 use crate::process::{FrontPhase, FrontState};
@@ -83,11 +83,11 @@
     body: Body,
 ) -> Response<Body> {
     let mut log_entry = AccessLogEntry::default();
-    let sent = SentFlag::default();
+    let progress = SendProgress::default();
     let deadline = state.clock.instant(plan.deadline);
-    let ended = |if_sent, if_unsent| Err(if sent.is_set() { if_sent } else { if_unsent });
+    let ended = |if_sent, if_unsent| Err(if progress.is_sent() { if_sent } else { if_unsent });
     let result = tokio::select! {
-        served = timeout_at(deadline, forward(state, plan, body, &mut log_entry, &sent)) => {
+        served = timeout_at(deadline, forward(state, plan, body, &mut log_entry, &progress)) => {
             served.unwrap_or_else(|_elapsed| {
                 ended(FrontRefusal::DeadlinePassed, FrontRefusal::DeadlineUnsent)
             })
@@ -105,8 +105,11 @@
                 state.metrics.count_refusal(&plan.service, &refusal.kind(), plan.priority());
             }
             let mut response = refusal.response();
-            if plan.hop.is_some() && refusal.is_declinable() {
-                mark_declined(response.headers_mut(), "no-longer-able");
+            if plan.hop.is_some() {
+                mark_delivered(response.headers_mut(), progress.delivered());
+                if refusal.is_declinable() {
+                    mark_declined(response.headers_mut(), "no-longer-able");
+                }
             }
             response
         }
@@ -118,7 +121,7 @@
     plan: &RequestPlan,
     body: Body,
     log_entry: &mut AccessLogEntry,
-    sent: &SentFlag,
+    progress: &SendProgress,
 ) -> Result<Response<Body>, FrontRefusal> {
     if state.may_be_cut(plan.deadline) {
         return Err(FrontRefusal::Stopping);
@@ -129,5 +132,5 @@
     if state.may_be_cut(plan.deadline) {
         return Err(FrontRefusal::Stopping);
     }
-    ForwardTask::new(state, plan, body, log_entry, sent).run().await
+    ForwardTask::new(state, plan, body, log_entry, progress).run().await
 }
