front: a planned stop takes the grace period that was reloaded

Cause: leave and the lookups read the settings of the start; a reload passes bounds to the steering state only. Fix: both read the bounds in force. The update deadline, which the readers of updates are built with, needs a restart, and a reload that changes it says so. Ruled out: refusing such a reload; the platform does not ask.

--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -253,7 +253,7 @@
             _timers,
         } = self;
         let started = Instant::now();
-        let grace = state.settings.bounds.grace;
+        let grace = state.steering().bounds().grace;
         log::info!(
             "event=stopping instance={} grace_ms={}",
             state.settings.instance,
@@ -434,6 +434,9 @@
         {
             return;
         }
+        if settings.bounds.update_deadline != current.bounds.update_deadline {
+            log::warn!("event=reload-partial reason=update-deadline-needs-a-restart");
+        }
         let bounds = settings.bounds.clone();
         if (FrontSettings { bounds: current.bounds.clone(), ..settings.clone() }) != current {
             log::warn!("event=reload-partial reason=addresses-and-place-need-a-restart");
--- a/crates/jackdawmux_front/src/process/lookup.rs
+++ b/crates/jackdawmux_front/src/process/lookup.rs
@@ -34,7 +34,7 @@
 ) -> Response {
     let lookup = state.dialect.read_lookup(query.as_deref().unwrap_or_default());
     let now = state.clock.now();
-    let ttl = LOOKUP_TTL.min(state.settings.bounds.max_lookup_ttl);
+    let ttl = LOOKUP_TTL.min(state.steering().bounds().max_lookup_ttl);
     let spread = state.lookup_spread(&lookup.region);
     let addresses: Vec<SocketAddr> = {
         let directory = state.directory();
--- a/crates/jackdawmux_policy/src/fleet/steering.rs
+++ b/crates/jackdawmux_policy/src/fleet/steering.rs
@@ -213,6 +213,12 @@
         self.bounds = bounds;
     }
 
+    /// Returns the bounds in force.
+    #[must_use]
+    pub const fn bounds(&self) -> &FleetBounds {
+        &self.bounds
+    }
+
     /// Performs periodic maintenance: removes endpoints whose grace period is over and updates the
     /// typical latencies. Returns the removed endpoints.
     pub fn tick(&mut self, now: PolicyTime) -> Vec<String> {
