soak: a request that names another endpoint uses neither endpoint nor domain

Trace: front 0, just restarted, had i-1 of another domain in its list; i-1 was gone and the system had given its port to i-16. The request named i-1, i-16 refused it with 421 (sends=i-1/0/misdirected). Change: such arrivals are left out of these two checks; every other arrival is checked as before.

--- a/crates/jackdawmux_soak/src/checks/updates.rs
+++ b/crates/jackdawmux_soak/src/checks/updates.rs
@@ -32,6 +32,10 @@
                 continue;
             };
             let endpoint = arrival.endpoint;
+            // It was sent to an earlier endpoint at the address; the rules do not count it.
+            if arrival.arrival.is_misdirected(&endpoint.standin.id) {
+                continue;
+            }
             let at = arrival.arrival.at;
             let disturbances = self.observations.disturbances;
             let is_excused = |since: Instant| {
