--- a/crates/jackdawmux_policy/src/fleet/directory.rs
+++ b/crates/jackdawmux_policy/src/fleet/directory.rs
@@ -252,9 +252,9 @@
     }
 
     /// Returns the names of all registered instances; `None` until a complete list has been read and this
-    /// instance is in it. A list from before its registration may be from before the others'. Crashed
-    /// instances stay until their registration is removed, so that a crash does
-    /// not increase the shares of the others.
+    /// instance is in it. A list from before its registration may lack the others as well. Crashed
+    /// instances stay until their registration is removed, so that a crash does not increase the shares
+    /// of the others.
     #[must_use]
     pub fn names(&self) -> Option<Vec<String>> {
         let is_known = self.is_listed && self.is_registered();
