--- a/crates/jackdawmux_front/src/process/state_actor.rs
+++ b/crates/jackdawmux_front/src/process/state_actor.rs
@@ -195,6 +195,9 @@
         let relay_delay = if is_direct { Duration::ZERO } else { times.batch_delay };
         let mut freshness = self.state.freshness();
         for topic in WatchTopic::iter() {
+            if let Some(age) = freshness.reply_age(now, topic) {
+                self.state.metrics.set_topic_reply_age(topic.into(), age);
+            }
             if freshness.take_behind(now, topic, BEHIND_GRACE + relay_delay) {
                 self.state.is_behind[topic as usize].notify_one();
             }
--- a/crates/jackdawmux_front/src/process/watcher.rs
+++ b/crates/jackdawmux_front/src/process/watcher.rs
@@ -103,6 +103,7 @@
                         gone_backoff = Duration::ZERO;
                     }
                     self.record_success().await;
+                    self.state.freshness().record_reply(self.state.clock.now(), self.topic);
                     drop(probe);
                     if !batch.is_relayed {
                         self.state.relay.record_reply(self.topic);
--- a/crates/jackdawmux_policy/src/fleet/freshness.rs
+++ b/crates/jackdawmux_policy/src/fleet/freshness.rs
@@ -29,6 +29,8 @@
     behind_since: Option<PolicyTime>,
     /// Since when a call to the source has been waiting for updates.
     waiting_since: Option<PolicyTime>,
+    /// When a call for this topic was last answered, by the source or by a relay.
+    replied_at: Option<PolicyTime>,
 }
 
 impl FreshnessTracker {
@@ -62,6 +64,17 @@
         self.topics[topic as usize].waiting_since = None;
     }
 
+    /// Records that a call for a topic was answered, also without updates.
+    pub fn record_reply(&mut self, now: PolicyTime, topic: WatchTopic) {
+        self.topics[topic as usize].replied_at = Some(now);
+    }
+
+    /// Returns the time since the latest reply for a topic; none before the first.
+    #[must_use]
+    pub fn reply_age(&self, now: PolicyTime, topic: WatchTopic) -> Option<Duration> {
+        self.topics[topic as usize].replied_at.map(|at| now.since(at))
+    }
+
     /// Returns whether a peer has been ahead for at least `grace` while a call was waiting; the call
     /// should have returned by then. Each change that a peer reports is returned once.
     pub fn take_behind(&mut self, now: PolicyTime, topic: WatchTopic, grace: Duration) -> bool {
--- a/crates/jackdawmux_policy/src/fleet/position.rs
+++ b/crates/jackdawmux_policy/src/fleet/position.rs
@@ -2,10 +2,10 @@
 
 use std::fmt;
 
-use strum::{Display, EnumCount, EnumIter};
+use strum::{Display, EnumCount, EnumIter, IntoStaticStr};
 
 /// Kinds of updates; each is listed and watched separately.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumCount, EnumIter)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumCount, EnumIter, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum WatchTopic {
     /// The operator's configuration.
--- a/crates/jackdawmux_runtime/src/metrics.rs
+++ b/crates/jackdawmux_runtime/src/metrics.rs
@@ -99,6 +99,7 @@
     config_version: Gauge<u64>,
     isolated: Gauge<u64>,
     permission_age: Gauge<f64>,
+    topic_reply_age: Gauge<f64>,
     alarms: Counter<u64>,
     caps: CapMetrics,
     retry_budget: RetryBudgetMetrics,
@@ -129,6 +130,7 @@
             retries: meter.u64_counter("jackdawmux_retries").build(),
             isolated: meter.u64_gauge("jackdawmux_isolated").build(),
             permission_age: meter.f64_gauge("jackdawmux_permission_age_seconds").build(),
+            topic_reply_age: meter.f64_gauge("jackdawmux_topic_reply_age_seconds").build(),
             forwarded: meter.u64_counter("jackdawmux_forwarded_requests").build(),
             refusals: meter.u64_counter("jackdawmux_refusals").build(),
             config_version: meter.u64_gauge("jackdawmux_config_version").build(),
@@ -211,6 +213,11 @@
         self.permission_age.record(age.as_secs_f64(), &[]);
     }
 
+    /// Sets the time since a read of a topic of the update source was last answered.
+    pub fn set_topic_reply_age(&self, topic: &'static str, age: Duration) {
+        self.topic_reply_age.record(age.as_secs_f64(), &[KeyValue::new("topic", topic)]);
+    }
+
     /// Counts an alarm, a condition that an operator should investigate.
     pub fn count_alarm(&self, kind: &str) {
         self.alarms.add(1, &[KeyValue::new("kind", kind.to_owned())]);
