front: no watch waits for the source longer than the deadline of its topic allows

Cause: the reply to a watch was lost, and a watch of any topic but the endpoints waited 12 s and 1.5 s more. The heartbeats of peers, on which these topics relied, state only what a peer has heard of; all had lost the same reply, since all start the next watch in step after a change. Ruled out: an outage that goes unnoticed as such (checking more often only moves the window: a silence of 0.2 s hides a change too, store_silence begins_ms 0, length_ms 200); a connection that stays silent (the first list after it is answered). Why this works: a watch at the source ends 0.6 of the topic's deadline after the latest reply for this topic, and its reply counts as lost 0.2 later, upon which the list is read. So no loss, whenever it begins and however long it lasts, hides an update beyond the deadline. Each topic has a deadline: configApply, drain or configApply, evacuation, the TTL of lookups. The rule is the same at relays (a topic is vouched for as long as its own replies are recent) and at their readers; must_be_current and shares_only_relay go. The delay after a batch and the waits are spread, so that instances do not ask in step.

--- a/crates/jackdawmux_entry/src/front/native.rs
+++ b/crates/jackdawmux_entry/src/front/native.rs
@@ -175,6 +175,7 @@
             max_lookup_ttl: MAX_LOOKUP_TTL,
             update_deadline: UPDATE_DEADLINE,
             config_deadline: UPDATE_DEADLINE,
+            evacuation_deadline: UPDATE_DEADLINE,
             teams: None,
             has_pressure: false,
             has_endpoint_sets: false,
--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -434,7 +434,8 @@
         {
             return;
         }
-        if settings.bounds.update_deadline != current.bounds.update_deadline {
+        let (bounds, before) = (&settings.bounds, &current.bounds);
+        if WatchTopic::iter().any(|topic| bounds.deadline(topic) != before.deadline(topic)) {
             log::warn!("event=reload-partial reason=update-deadline-needs-a-restart");
         }
         let bounds = settings.bounds.clone();
--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -12,7 +12,7 @@
 use jackdawmux_policy::fleet::freshness::FreshnessTracker;
 use jackdawmux_policy::fleet::placement::LookupSpread;
 use jackdawmux_policy::fleet::record::TeamRecord;
-use jackdawmux_policy::fleet::relay::{ReadPath, RelaySuspicions};
+use jackdawmux_policy::fleet::relay::{ReadPath, RelaySuspicions, RelayTimes};
 use jackdawmux_policy::fleet::retry_share::RetryFigures;
 use jackdawmux_policy::fleet::steering::FleetSteering;
 use jackdawmux_runtime::{ListenerLimits, ProcessClock, ProcessMetrics};
@@ -228,15 +228,9 @@
         self.directory().read_path(now, &suspicions, is_starting)
     }
 
-    /// Whether a missing reply of the source for a topic must be noticed without other instances. They
-    /// state versions and evacuations that this one has missed, but not the removal of an endpoint,
-    /// which has no revision of its own.
-    pub(crate) fn must_be_current(&self, topic: WatchTopic) -> bool {
-        match topic {
-            WatchTopic::Endpoints => true,
-            WatchTopic::Config | WatchTopic::Evacuations => self.directory().shares_only_relay(),
-            WatchTopic::Instances => false,
-        }
+    /// Time limits of the reads of a topic.
+    pub(crate) fn read_times(&self, topic: WatchTopic) -> RelayTimes {
+        RelayTimes::new(self.settings.bounds.deadline(topic))
     }
 
     /// Reads from another instance than this relay for a while. Returns whether it was not suspected
--- a/crates/jackdawmux_front/src/process/watcher.rs
+++ b/crates/jackdawmux_front/src/process/watcher.rs
@@ -23,12 +23,15 @@
 const REPLY_MARGIN: Duration = Duration::from_secs(1);
 /// Limit that no reply exceeds.
 const UNLIMITED: Duration = Duration::from_secs(3_600);
-/// How long one watch waits for updates.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(12);
 /// Delay after a watch that brought updates, in which further updates accumulate, as a share of the time
 /// within which an update must be applied. Each call to the source has a cost; the rest of that
 /// time allows for a slow response and for requests in progress.
 const BATCH_DELAY_SHARE: f64 = 0.3;
+/// Smallest share of that delay. Instances that receive the same update must not all start their next
+/// watch at one moment, in which a lost reply would hide an update from all of them.
+const MIN_DELAY_SHARE: f64 = 0.7;
+/// Smallest share of the wait of a watch, for the same reason.
+const MIN_WAIT_SHARE: f64 = 0.9;
 /// The same delay for instances; it may be longer, because heartbeats show sooner whether an
 /// instance is up.
 const INSTANCES_BATCH_DELAY: Duration = Duration::from_secs(1);
@@ -174,7 +177,9 @@
             match call {
                 SourceCall::List { .. } => self.source.list(self.topic, freshness).await,
                 SourceCall::Watch { position } => {
-                    let wait = max_wait.map_or(WATCH_TIMEOUT, |wait| wait.min(WATCH_TIMEOUT));
+                    let wait = self.state.read_times(self.topic).wait_after(read.idle);
+                    let wait = max_wait.map_or(wait, |max_wait| max_wait.min(wait));
+                    let wait = wait.mul_f64(rand::random_range(MIN_WAIT_SHARE..1.0));
                     self.source.watch(self.topic, position, wait).await
                 }
             }
@@ -213,7 +218,8 @@
         let message = ApplyUpdates { topic: self.topic, batch, read };
         let is_delivered = self.state_actor.tell(message).await.is_ok();
         if is_delayed {
-            sleep(self.batch_delay()).await;
+            let delay = self.batch_delay();
+            sleep(delay.mul_f64(rand::random_range(MIN_DELAY_SHARE..1.0))).await;
         }
         is_delivered
     }
--- a/crates/jackdawmux_front/src/relay/server.rs
+++ b/crates/jackdawmux_front/src/relay/server.rs
@@ -122,11 +122,7 @@
 /// Until when this instance may answer reads of a topic, as far as the source's replies for this
 /// topic show; none if it may not. A reply for another topic shows nothing.
 fn current_until(state: &FrontState, topic: WatchTopic) -> Option<Instant> {
-    if !state.must_be_current(topic) {
-        return Some(Instant::now() + MAX_WAIT);
-    }
-    let times = RelayTimes::new(state.settings.bounds.update_deadline);
-    let until = state.relay.replied_at(topic)? + times.max_topic_age;
+    let until = state.relay.replied_at(topic)? + state.read_times(topic).max_topic_age;
     (Instant::now() < until).then_some(until)
 }
 
--- a/crates/jackdawmux_front/src/relay/source.rs
+++ b/crates/jackdawmux_front/src/relay/source.rs
@@ -27,16 +27,13 @@
 const DECISION_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between reads of a relay that does not read the source yet.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
-/// Longest wait of a watch at the source while the group has a relay that did not reply, after which
-/// the relay is tried again.
-const FALLBACK_WAIT: Duration = Duration::from_secs(2);
-/// The same for topics whose age must be proved: the relay has used up most of the time.
+/// Longest wait of a watch at the source while it is not known whether the group has a relay.
+const UNDECIDED_WAIT: Duration = Duration::from_secs(2);
+/// Wait of a watch at the source after a relay did not reply, for topics whose age must be proved: the
+/// relay has used up most of the time.
 const PROOF_FALLBACK_WAIT: Duration = Duration::from_millis(200);
 /// Time for the reply of a relay in addition to the wait, for these topics.
 const PROOF_REPLY_MARGIN: Duration = Duration::from_millis(500);
-/// Multiple of the wait at a relay for topics other than that of the endpoints, whose reads show
-/// often enough whether the relay still replies.
-const LONG_WAIT_FACTOR: u32 = 5;
 
 /// Reads updates over the relay of the own group.
 #[derive(Debug)]
@@ -72,7 +69,7 @@
     pub fn open(source: Arc<dyn FleetSource>, state: Arc<FrontState>) -> Result<Self, SourceError> {
         let times = RelayTimes::new(state.settings.bounds.update_deadline);
         let client = Client::builder()
-            .connect_timeout(times.reply_timeout.saturating_sub(times.wait))
+            .connect_timeout(times.relay_margin())
             .no_proxy()
             .tcp_nodelay(true)
             .pool_max_idle_per_host(WatchTopic::COUNT)
@@ -193,10 +190,12 @@
             }
             path = self.path_of(topic);
         }
-        let fallback_wait =
-            if self.needs_proof(topic) { PROOF_FALLBACK_WAIT } else { FALLBACK_WAIT };
-        let is_short = is_fallback || path == ReadPath::Undecided;
-        let wait = if is_short { wait.min(fallback_wait) } else { wait };
+        let wait = match path {
+            _ if is_fallback && self.needs_proof(topic) => wait.min(PROOF_FALLBACK_WAIT),
+            _ if is_fallback => wait.min(self.state.read_times(topic).min_source_wait),
+            ReadPath::Undecided => wait.min(UNDECIDED_WAIT),
+            _ => wait,
+        };
         let batch = self.watch_source(topic, position, wait).await?;
         if !batch.updates.is_empty() {
             self.record_position(topic, batch.position);
@@ -204,27 +203,19 @@
         Ok(batch)
     }
 
-    /// Watches a topic at the source. A topic that must be current is watched for short times, each of
-    /// which must end with a reply.
+    /// Watches a topic at the source. A reply that is overdue is taken for lost.
     async fn watch_source(
         &self,
         topic: WatchTopic,
         position: SourcePosition,
         wait: Duration,
     ) -> Result<UpdateBatch, SourceError> {
-        if !self.state.must_be_current(topic) {
-            return self.source.watch(topic, position, wait).await;
-        }
-        let times = RelayTimes::new(self.state.settings.bounds.update_deadline);
-        let watch = self.source.watch(topic, position, wait.min(times.source_wait));
-        timeout(times.source_timeout, watch).await.unwrap_or_else(|_elapsed| {
+        let limit = wait + self.state.read_times(topic).reply_margin;
+        let watch = self.source.watch(topic, position, wait);
+        timeout(limit, watch).await.unwrap_or_else(|_elapsed| {
             let (step, kind) = ("watch", SourceErrorKind::WatchOverdue);
-            Err(SourceError {
-                step,
-                peer: "-".to_owned(),
-                kind,
-                reason: "no reply in time".to_owned(),
-            })
+            let reason = format!("no reply in {} ms", limit.as_millis());
+            Err(SourceError { step, peer: "-".to_owned(), kind, reason })
         })
     }
 
@@ -237,11 +228,10 @@
         wait: Duration,
     ) -> Result<RelayReply, SourceError> {
         let mut suspicions = self.state.relay_suspicions.subscribe();
-        let times = RelayTimes::new(self.state.settings.bounds.update_deadline);
         let margin = if self.needs_proof(topic) {
             PROOF_REPLY_MARGIN
         } else {
-            times.reply_timeout.saturating_sub(times.wait)
+            self.state.read_times(topic).relay_margin()
         };
         let limit = wait + margin;
         let reading = timeout(limit, self.request(relay, topic, position, wait));
@@ -300,12 +290,10 @@
     }
 
     fn relay_wait(&self, topic: WatchTopic) -> Duration {
-        let times = RelayTimes::new(self.state.settings.bounds.update_deadline);
+        let times = self.state.read_times(topic);
         match topic {
             WatchTopic::Endpoints => times.wait,
-            WatchTopic::Config | WatchTopic::Evacuations | WatchTopic::Instances => {
-                times.wait * LONG_WAIT_FACTOR
-            }
+            WatchTopic::Config | WatchTopic::Evacuations | WatchTopic::Instances => times.long_wait,
         }
     }
 
--- a/crates/jackdawmux_native/tests/native.rs
+++ b/crates/jackdawmux_native/tests/native.rs
@@ -99,6 +99,7 @@
             max_lookup_ttl: Duration::from_secs(5),
             update_deadline: Duration::from_secs(2),
             config_deadline: Duration::from_secs(2),
+            evacuation_deadline: Duration::from_secs(2),
             teams: None,
             has_pressure: false,
             has_endpoint_sets: false,
--- a/crates/jackdawmux_policy/src/fleet/directory.rs
+++ b/crates/jackdawmux_policy/src/fleet/directory.rs
@@ -8,7 +8,7 @@
 
 use super::placement::MAX_LOOKUP_INSTANCES;
 use super::record::InstanceRecord;
-use super::relay::{MIN_GROUP_SIZE, ReadPath, RelaySuspicions, read_path, relay_group};
+use super::relay::{ReadPath, RelaySuspicions, read_path, relay_group};
 use crate::clock::PolicyTime;
 
 /// Minimum interval between heartbeats to one instance.
@@ -322,13 +322,6 @@
         })
     }
 
-    /// Returns whether all instances share one relay, so that no other one reads the source.
-    #[must_use]
-    pub fn shares_only_relay(&self) -> bool {
-        let size = self.relay_group().len();
-        size >= MIN_GROUP_SIZE && size == self.registered.len()
-    }
-
     /// Returns the instances with which this one shares a relay, including itself; empty until it
     /// knows its own registration.
     fn relay_group(&self) -> Vec<&InstanceRecord> {
--- a/crates/jackdawmux_policy/src/fleet/record.rs
+++ b/crates/jackdawmux_policy/src/fleet/record.rs
@@ -9,6 +9,8 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use super::position::WatchTopic;
+
 /// Whether an endpoint accepts requests, as stated in its registration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointPhase {
@@ -228,6 +230,8 @@
     pub update_deadline: Duration,
     /// Time within which a configuration must be applied.
     pub config_deadline: Duration,
+    /// Time within which an evacuation must be applied.
+    pub evacuation_deadline: Duration,
     /// Bounds for teams; none if the deployment has none.
     pub teams: Option<TeamBounds>,
     /// Whether requests are steered and admitted by expected wait and cost on all services. Other
@@ -239,3 +243,17 @@
     /// Whether the shares of regions follow their demand under load.
     pub has_demand_shares: bool,
 }
+
+impl FleetBounds {
+    /// Returns the time within which an update of a topic must be applied.
+    #[must_use]
+    pub const fn deadline(&self, topic: WatchTopic) -> Duration {
+        match topic {
+            WatchTopic::Config => self.config_deadline,
+            WatchTopic::Endpoints => self.update_deadline,
+            WatchTopic::Evacuations => self.evacuation_deadline,
+            // Callers may use an older lookup for as long.
+            WatchTopic::Instances => self.max_lookup_ttl,
+        }
+    }
+}
--- a/crates/jackdawmux_policy/src/fleet/relay.rs
+++ b/crates/jackdawmux_policy/src/fleet/relay.rs
@@ -15,29 +15,36 @@
 /// Largest group that shares a relay.
 const MAX_GROUP_SIZE: usize = 16;
 /// Smallest group in which a relay saves calls to the source.
-pub(super) const MIN_GROUP_SIZE: usize = 3;
+const MIN_GROUP_SIZE: usize = 3;
 /// How long a relay that failed to reply is not asked again.
 const SUSPICION_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of updates that a relay keeps for watches. A position before them is answered as
 /// by a source whose history is gone.
 const MAX_KEPT_UPDATES: usize = 1_024;
 
-/// Time limits of reads from a relay, derived from the time within which an update must be applied.
+/// Time limits of reads of a topic, from a relay or from the source, derived from the time within which
+/// its updates must be applied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RelayTimes {
     /// How long a relay holds a read if it has no updates.
     pub wait: Duration,
     /// How long a reader waits for the reply.
     pub reply_timeout: Duration,
+    /// The hold for topics other than the endpoints, whose reads show more often whether the relay still
+    /// replies.
+    pub long_wait: Duration,
     /// Maximum age of the source's latest reply with which a relay answers reads.
     pub max_age: Duration,
-    /// How long a watch at the source waits if the topic must be current: its reply, also one without
-    /// updates, shows that the source still answers for the topic.
+    /// Time after the latest reply for a topic at which the next watch at the source ends. Its reply, also
+    /// one without updates, shows that none has been lost.
     pub source_wait: Duration,
-    /// How long an instance waits for the reply to such a watch before it lists the topic instead.
-    pub source_timeout: Duration,
+    /// Shortest wait of such a watch, also after a relay that did not reply.
+    pub min_source_wait: Duration,
+    /// How much longer than the wait of a watch an instance waits for its reply before it lists the topic
+    /// instead.
+    pub reply_margin: Duration,
     /// Maximum time since the source last replied for a topic with which a relay answers reads of it. It
-    /// covers a batch delay and the next watch.
+    /// covers a batch delay, the next watch and its reply.
     pub max_topic_age: Duration,
     /// Maximum time without a reply of the source after which a relay checks it.
     pub check_interval: Duration,
@@ -46,21 +53,35 @@
 }
 
 impl RelayTimes {
-    /// Derives the time limits. A relay that loses the source, and a reader that loses its relay,
-    /// leave enough of the deadline to read the source directly.
+    /// Derives the time limits. A relay that loses the source, a reader that loses its relay, and a
+    /// watch whose reply is lost leave enough of the deadline to read the source again.
     #[must_use]
-    pub fn new(update_deadline: Duration) -> Self {
+    pub fn new(deadline: Duration) -> Self {
         Self {
-            wait: update_deadline.mul_f64(0.2),
-            reply_timeout: update_deadline.mul_f64(0.35),
-            max_age: update_deadline.mul_f64(0.4),
-            source_wait: update_deadline.mul_f64(0.45),
-            source_timeout: update_deadline.mul_f64(0.65),
-            max_topic_age: update_deadline.mul_f64(0.7),
-            check_interval: update_deadline.mul_f64(0.16),
-            batch_delay: update_deadline.mul_f64(0.15),
+            wait: deadline.mul_f64(0.2),
+            reply_timeout: deadline.mul_f64(0.35),
+            long_wait: deadline.mul_f64(0.45),
+            max_age: deadline.mul_f64(0.4),
+            source_wait: deadline.mul_f64(0.6),
+            min_source_wait: deadline.mul_f64(0.1),
+            reply_margin: deadline.mul_f64(0.2),
+            max_topic_age: deadline.mul_f64(0.85),
+            check_interval: deadline.mul_f64(0.16),
+            batch_delay: deadline.mul_f64(0.15),
         }
     }
+
+    /// Returns how long a watch at the source waits, `idle` after the latest reply for the topic.
+    #[must_use]
+    pub fn wait_after(&self, idle: Duration) -> Duration {
+        self.source_wait.saturating_sub(idle).max(self.min_source_wait)
+    }
+
+    /// Time that a reader gives a relay in addition to the time for which it holds the read.
+    #[must_use]
+    pub const fn relay_margin(&self) -> Duration {
+        self.reply_timeout.saturating_sub(self.wait)
+    }
 }
 
 /// From where an instance reads updates.
--- a/crates/jackdawmux_policy/tests/relays.rs
+++ b/crates/jackdawmux_policy/tests/relays.rs
@@ -140,6 +140,26 @@
     assert!(times.check_interval * 2 < times.max_age);
 }
 
+/// Guards against an update that is hidden for longer than its deadline by the loss of the reply to a watch.
+#[test]
+fn a_lost_reply_leaves_time_to_read_the_source() {
+    let deadline = Duration::from_secs(2);
+    let times = RelayTimes::new(deadline);
+    for idle_ms in [0, 300, 600, 1_200, 5_000] {
+        let idle = Duration::from_millis(idle_ms);
+        let overdue = times.wait_after(idle) + times.reply_margin;
+        // The update was accepted just after the reply before.
+        let is_in_time = idle + overdue <= deadline.mul_f64(0.8);
+        assert!(is_in_time || overdue <= deadline.mul_f64(0.3), "{idle_ms}: {overdue:?}");
+    }
+    // A relay answers reads until its own overdue reply has led to a list.
+    assert!(times.source_wait + times.reply_margin < times.max_topic_age);
+    assert!(times.max_topic_age < deadline.mul_f64(0.9));
+    // A reader that waits at a relay in vain reads the source.
+    let relay = times.long_wait + times.relay_margin();
+    assert!(relay + times.min_source_wait + times.reply_margin <= deadline);
+}
+
 /// Changes of one object each: its name and whether it exists.
 type Change = (u8, bool);
 
--- a/crates/jackdawmux_policy/tests/support/fleet_fixtures.rs
+++ b/crates/jackdawmux_policy/tests/support/fleet_fixtures.rs
@@ -29,6 +29,7 @@
         max_lookup_ttl: Duration::from_secs(5),
         update_deadline: Duration::from_secs(2),
         config_deadline: Duration::from_secs(2),
+        evacuation_deadline: Duration::from_secs(5),
         teams: None,
         has_pressure: false,
         has_endpoint_sets: true,
