entry, native: a lost watch reply hides no accepted version beyond its deadline

Native front: its watches have been bounded with those of the platform, but a read waited for 2 s, which is the whole deadline of accepted rules. Now a watch of the head waits 1 s and calls end 1.5 s later; the check whether an entry watches at all keeps its 10 s. Sound as it is: the watch of a group's view. Writes are conditional on the version known, and the member that wrote a view states its version in heartbeats, upon which the others ask for it (policy::membership, ViewAsk).

--- a/crates/jackdawmux_entry/src/process/view.rs
+++ b/crates/jackdawmux_entry/src/process/view.rs
@@ -11,7 +11,8 @@
 use super::message::{ViewRead, ViewWriteFailed};
 use super::steering::SteeringActor;
 
-/// Time after which a watch without a change returns.
+/// Time after which a watch without a change returns. A lost reply hides no view for as long: the member
+/// that wrote the view states its version in heartbeats, upon which the others ask for it.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
 /// Mean delay after a failed watch; the jitter is half of it in either direction.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(300);
--- a/crates/jackdawmux_entry/src/version/head_watcher.rs
+++ b/crates/jackdawmux_entry/src/version/head_watcher.rs
@@ -14,8 +14,12 @@
 
 /// Number of instances in a failure domain that watch the store; two more do no harm.
 const WATCHERS_PER_DOMAIN: usize = 2;
-/// Time after which a watch without a change returns.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which a watch without a change returns. A watch whose reply is lost hides a version until
+/// this time and the timeout of the call have passed, which must leave time to read the head and to
+/// send it to the peers before the version is due everywhere.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time between checks whether this instance has become a watcher, if the directory does not change.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_secs(10);
 /// Mean delay after a failed call; the jitter is half of it in either direction.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(300);
 
@@ -41,7 +45,7 @@
             last_version = None;
             let mut directory = watcher.directory.clone();
             directory.mark_unchanged();
-            let _changed = tokio::time::timeout(WATCH_TIMEOUT, directory.changed()).await;
+            let _changed = tokio::time::timeout(ROLE_CHECK_INTERVAL, directory.changed()).await;
             continue;
         }
         let reply = match last_version {
--- a/crates/jackdawmux_front/src/process/watcher.rs
+++ b/crates/jackdawmux_front/src/process/watcher.rs
@@ -31,7 +31,7 @@
 /// watch at one moment, in which a lost reply would hide an update from all of them.
 const MIN_DELAY_SHARE: f64 = 0.7;
 /// Smallest share of the wait of a watch, for the same reason.
-const MIN_WAIT_SHARE: f64 = 0.9;
+const MIN_WAIT_SHARE: f64 = 0.95;
 /// The same delay for instances; it may be longer, because heartbeats show sooner whether an
 /// instance is up.
 const INSTANCES_BATCH_DELAY: Duration = Duration::from_secs(1);
--- a/crates/jackdawmux_native/tests/native.rs
+++ b/crates/jackdawmux_native/tests/native.rs
@@ -10,20 +10,23 @@
 use jackdawmux_front::{FrontProcess, FrontSettings};
 use jackdawmux_native::{NativeDialect, RulesSource, read_regions};
 use jackdawmux_policy::fleet::record::FleetBounds;
-use jackdawmux_standins::store::StoreStandin;
+use jackdawmux_standins::store::{StoreFaults, StoreStandin};
 use jackdawmux_standins::upstream::{UpstreamSettings, UpstreamStandin};
 use jackdawmux_store::{AcceptOutcome, AcceptRequest, HttpStore, ObjectStore, accept_rules};
 use reqwest::Client;
-use tokio::time::{sleep, timeout};
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep, timeout};
 
 /// Limit of the time for each condition that a test waits for.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time within which accepted rules must be applied.
+const UPDATE_DEADLINE: Duration = Duration::from_secs(2);
 const ANY_PORT: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
 struct NativeFleet {
     store: Arc<dyn ObjectStore>,
-    _store_standin: StoreStandin,
+    standin: StoreStandin,
     upstreams: Vec<UpstreamStandin>,
     front: FrontProcess,
     client: Client,
@@ -55,7 +58,7 @@
         };
         let front = FrontProcess::open(parts).await.expect("the front starts");
         let client = Client::builder().no_proxy().build().expect("the HTTP client is built");
-        let fleet = Self { store, _store_standin: standin, upstreams, front, client };
+        let fleet = Self { store, standin, upstreams, front, client };
         fleet.wait_status("/balance/1", 200).await;
         fleet
     }
@@ -149,6 +152,33 @@
     fleet.wait_status("/new/1", 200).await;
 }
 
+/// Guards against rules that are hidden from all fronts because they have lost the same reply.
+#[tokio::test]
+async fn a_lost_watch_reply_hides_no_accepted_rules() {
+    let fleet = NativeFleet::start().await;
+    fleet.standin.set_faults(StoreFaults { drops_watches: true, ..StoreFaults::default() });
+    // The watches that wait at the store notice the fault.
+    sleep(Duration::from_millis(100)).await;
+    fleet.standin.set_faults(StoreFaults::default());
+    let more = "route new host a.example path /new/ to ledger priority low attempts 2 \
+                target 200ms timeout 2s  # counter team: new\n";
+    accept(fleet.store.as_ref(), &rules(&fleet.upstreams, more)).await;
+    let accepted = Instant::now();
+    fleet.wait_status("/new/1", 200).await;
+    assert!(accepted.elapsed() < UPDATE_DEADLINE, "{:?}", accepted.elapsed());
+}
+
+/// Guards against a list that waits for the whole update deadline for a reply that was lost.
+#[tokio::test]
+async fn a_read_without_reply_fails_before_the_update_deadline() {
+    let listener = TcpListener::bind(ANY_PORT).await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    let store = HttpStore::open(&format!("http://{address}"), None).expect("the client opens");
+    let started = Instant::now();
+    assert!(store.read("config/head").await.is_err());
+    assert!(started.elapsed() < UPDATE_DEADLINE, "{:?}", started.elapsed());
+}
+
 #[tokio::test]
 async fn a_drained_upstream_gets_no_new_requests() {
     let fleet = NativeFleet::start().await;
--- a/crates/jackdawmux_policy/src/fleet/record.rs
+++ b/crates/jackdawmux_policy/src/fleet/record.rs
@@ -252,8 +252,9 @@
             WatchTopic::Config => self.config_deadline,
             WatchTopic::Endpoints => self.update_deadline,
             WatchTopic::Evacuations => self.evacuation_deadline,
-            // Callers may use an older lookup for as long.
-            WatchTopic::Instances => self.max_lookup_ttl,
+            // An instance that joins states its registration in its own heartbeats. What none of them
+            // tells must be known within the window over which shared limits are counted.
+            WatchTopic::Instances => self.retry_window,
         }
     }
 }
--- a/crates/jackdawmux_standins/src/store.rs
+++ b/crates/jackdawmux_standins/src/store.rs
@@ -41,6 +41,8 @@
     pub lost_answers: u32,
     /// Reads and watches return each object as it was before its last update.
     pub shows_old: bool,
+    /// Never answer the watches that wait now, or that arrive until this is reset.
+    pub drops_watches: bool,
 }
 
 /// Number of calls since the start.
@@ -212,6 +214,9 @@
     let mut changed = shared.changed.subscribe();
     loop {
         changed.mark_unchanged();
+        if shared.lock().faults.drops_watches {
+            std::future::pending::<()>().await;
+        }
         if shared.lock().faults.is_down {
             return StatusCode::SERVICE_UNAVAILABLE.into_response();
         }
--- a/crates/jackdawmux_store/src/http.rs
+++ b/crates/jackdawmux_store/src/http.rs
@@ -12,8 +12,9 @@
 
 /// Timeout for connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Timeout for a call; a watch adds its waiting time.
-const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Timeout for a call; a watch adds its waiting time. A read that is not answered must fail, and be made
+/// again, within the time in which accepted rules are applied.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// HTTP client of one object store.
 #[derive(Debug)]
