--- a/crates/jackdawmux_entry/tests/store_silence.rs
+++ b/crates/jackdawmux_entry/tests/store_silence.rs
@@ -26,3 +26,25 @@
     system.wait_version(&[0, 1, 2, 3], 2).await;
     assert!(accepted.elapsed() < ACTIVATION_DEADLINE, "{:?}", accepted.elapsed());
 }
+
+/// Guards against a view that is hidden from all members but the one that wrote it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_watch_reply_hides_no_view() {
+    let mut system = TestSystem::start("lost-view", SIZE).await;
+    system.store_faults("{\"drops_watches\":true}").await;
+    sleep(FAULT_TIME).await;
+    system.store_faults("{}").await;
+    let seed = system.entries[0].peer_address.expect("a peer address").to_string();
+    let entry = system.spawn_entry(4, &["--seed".to_owned(), seed]);
+    system.entries.push(entry);
+    let started = Instant::now();
+    system
+        .wait_for("the same view with five members", &[0, 1, 2, 3, 4], |states| {
+            let versions: Vec<_> =
+                states.iter().map(|state| &state["steering"]["view_version"]).collect();
+            let is_member = states[4]["steering"]["is_member"] == true;
+            is_member && versions.iter().all(|version| *version == versions[0])
+        })
+        .await;
+    assert!(started.elapsed() < ACTIVATION_DEADLINE, "{:?}", started.elapsed());
+}
