--- a/crates/jackdawmux_front/src/process/watcher.rs
+++ b/crates/jackdawmux_front/src/process/watcher.rs
@@ -27,14 +27,14 @@
 /// within which an update must be applied. Each call to the source has a cost; the rest of that
 /// time allows for a slow response and for requests in progress.
 const BATCH_DELAY_SHARE: f64 = 0.3;
-/// Smallest share of that delay. Instances that receive the same update must not all start their next
+/// The same delay for instances; it may be longer, because heartbeats show sooner whether an
+/// instance is up.
+const INSTANCES_BATCH_DELAY: Duration = Duration::from_secs(1);
+/// Smallest share of these delays that is used. Instances that receive the same update must not all start their next
 /// watch at one moment, in which a lost reply would hide an update from all of them.
 const MIN_DELAY_SHARE: f64 = 0.7;
 /// Smallest share of the wait of a watch, for the same reason.
 const MIN_WAIT_SHARE: f64 = 0.95;
-/// The same delay for instances; it may be longer, because heartbeats show sooner whether an
-/// instance is up.
-const INSTANCES_BATCH_DELAY: Duration = Duration::from_secs(1);
 /// Updates in a reply from which on the next watch follows without a delay. A source limits the updates
 /// of one reply, so more of them may wait there.
 const MAX_DELAYED_UPDATES: usize = 250;
--- a/crates/jackdawmux_policy/src/fleet/relay.rs
+++ b/crates/jackdawmux_policy/src/fleet/relay.rs
@@ -30,8 +30,8 @@
     pub wait: Duration,
     /// How long a reader waits for the reply.
     pub reply_timeout: Duration,
-    /// The hold for topics other than the endpoints, whose reads show more often whether the relay still
-    /// replies.
+    /// The hold for topics other than the endpoints. The reads of these show more often whether the relay
+    /// still replies.
     pub long_wait: Duration,
     /// Maximum age of the source's latest reply with which a relay answers reads.
     pub max_age: Duration,
