front: a planned stop starts late requests only if they can end, by the rule's own times

Cause: LATE_SHARE, 0.5 of grace, where the rule excuses what was sent in the first 3 s. At 6 s both agree to the millisecond; at 10 s requests sent between 3 and 5 s were started whatever their deadline.

The decision is now a state machine of jackdawmux_policy (fleet::planned_stop): early is 2.5 s or half of a short grace; later a request starts only if its deadline lies before the final answers, and it is asked again before each attempt. The half second below the rule's 3 s is for a process that handles the signal late.

Log: request lines name stopping_ms, stopping names accepts_ms and answers_ms.

--- a/crates/jackdawmux_entry/src/front/native.rs
+++ b/crates/jackdawmux_entry/src/front/native.rs
@@ -7,7 +7,7 @@
 
 use bpaf::{Parser, construct, long};
 use jackdawmux_front::FrontSettings;
-use jackdawmux_front::process::FrontParts;
+use jackdawmux_front::process::{FrontParts, SettingsReader};
 use jackdawmux_native::{NativeDialect, RegionsError, RulesSource, read_regions};
 use jackdawmux_policy::fleet::record::FleetBounds;
 use jackdawmux_store::{HttpStore, ObjectStore, StoreError};
@@ -148,7 +148,7 @@
         settings,
         source,
         dialect: Arc::new(NativeDialect),
-        reader: Box::new(move || Ok(fixed_settings.clone())),
+        reader: SettingsReader::new(move || Ok(fixed_settings.clone())),
     })
 }
 
--- a/crates/jackdawmux_entry/src/front/platform.rs
+++ b/crates/jackdawmux_entry/src/front/platform.rs
@@ -6,7 +6,7 @@
 
 use bpaf::{Parser, construct, long};
 use jackdawmux_front::SourceError;
-use jackdawmux_front::process::FrontParts;
+use jackdawmux_front::process::{FrontParts, SettingsReader};
 use jackdawmux_platform::{
     NODE_FILE_VARIABLE, PlatformDialect, PlatformSettings, PlatformStore, SettingsError,
     read_settings,
@@ -67,6 +67,6 @@
         settings: settings.front,
         source,
         dialect: Arc::new(PlatformDialect),
-        reader: Box::new(reader),
+        reader: SettingsReader::new(reader),
     })
 }
--- a/crates/jackdawmux_front/src/process/launch.rs
+++ b/crates/jackdawmux_front/src/process/launch.rs
@@ -12,7 +12,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{sleep, sleep_until};
 
 use super::connectivity::CHECK_INTERVAL;
 use super::endpoint_probe::probe_endpoints;
@@ -20,13 +20,14 @@
 use super::heartbeat;
 use super::lookup::{lookup_router, metrics_router, ready_router};
 use super::settings::FrontSettings;
-use super::state::{FrontPhase, FrontState, PlannedStop};
+use super::state::{FrontPhase, FrontState};
 use super::state_actor::{MaintenanceTick, SetBounds, StateActor};
 use super::watcher::TopicWatcher;
 use crate::dialect::WireDialect;
 use crate::relay::{PeerReader, RelayedSource, relay_router};
 use crate::request::{front_router, read_ahead_filter};
 use crate::source::{FleetSource, RegistrationReceipt, WatchTopic};
+use jackdawmux_policy::fleet::planned_stop::PlannedStop;
 use jackdawmux_policy::fleet::record::InstanceRecord;
 use jackdawmux_policy::fleet::relay::RelayTimes;
 
@@ -34,17 +35,6 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between reads of the settings, which may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
-/// Share of the grace period of a planned stop during which new requests are still accepted, for
-/// callers whose lookups are out of date.
-const ACCEPT_SHARE: f64 = 0.7;
-/// Share of the grace period after which a new request is accepted only if its deadline passes before
-/// requests in progress are answered. Most requests that arrive earlier end in time.
-const LATE_SHARE: f64 = 0.5;
-/// Share of the grace period after which requests still in progress get a final answer, which must
-/// reach their callers before the connections are closed.
-const ANSWER_SHARE: f64 = 0.9;
-/// Share of the grace period after which connections that are still open are closed.
-const STOP_SHARE: f64 = 0.93;
 /// Heartbeats that announce a stop; several, because a datagram can be lost.
 const STOP_HEARTBEATS: usize = 3;
 /// Time between heartbeats that announce a stop.
@@ -59,7 +49,25 @@
 const WITHDRAW_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Reads the current settings; the error describes what is wrong with them.
-pub type SettingsReader = Box<dyn Fn() -> Result<FrontSettings, String> + Send + Sync>;
+#[derive(Clone)]
+pub struct SettingsReader(Arc<dyn Fn() -> Result<FrontSettings, String> + Send + Sync>);
+
+impl SettingsReader {
+    /// Creates a reader from a function.
+    pub fn new(read: impl Fn() -> Result<FrontSettings, String> + Send + Sync + 'static) -> Self {
+        Self(Arc::new(read))
+    }
+
+    fn read(&self) -> Result<FrontSettings, String> {
+        (self.0)()
+    }
+}
+
+impl std::fmt::Debug for SettingsReader {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("SettingsReader").finish_non_exhaustive()
+    }
+}
 
 /// Parts from which a front is built.
 pub struct FrontParts {
@@ -93,6 +101,7 @@
     directory: CallerListener,
     metrics: Option<CallerListener>,
     relay: CallerListener,
+    reader: SettingsReader,
     tasks: JoinSet<()>,
     _timers: TimerService,
 }
@@ -197,7 +206,8 @@
         tasks.spawn(remove_abandoned(ticks, Arc::clone(&source), Arc::clone(&state)));
         tasks.spawn(run_maintenance(timers.every(MAINTENANCE_INTERVAL), state_actor.clone()));
         let ticks = timers.every(RELOAD_INTERVAL);
-        tasks.spawn(reload(state.settings.clone(), reader, hang_up, ticks, state_actor));
+        let settings = state.settings.clone();
+        tasks.spawn(reload(settings, reader.clone(), hang_up, ticks, state_actor));
         let _timers = timers;
         Ok(Self {
             state,
@@ -208,6 +218,7 @@
             directory,
             metrics,
             relay,
+            reader,
             tasks,
             _timers,
         })
@@ -249,21 +260,21 @@
             directory,
             metrics,
             relay,
+            reader,
             mut tasks,
             _timers,
         } = self;
-        let started = Instant::now();
-        let grace = state.steering().bounds().grace;
+        let began = state.clock.now();
+        let grace = read_grace(&state, &reader);
+        let stop = PlannedStop::new(began, grace);
         log::info!(
-            "event=stopping instance={} grace_ms={}",
+            "event=stopping instance={} grace_ms={} accepts_ms={} answers_ms={}",
             state.settings.instance,
-            grace.as_millis()
+            grace.as_millis(),
+            stop.accepts_until().since(began).as_millis(),
+            stop.answers_by().since(began).as_millis(),
         );
-        let now = state.clock.now();
-        state.plan_stop(PlannedStop {
-            late_from: now + grace.mul_f64(LATE_SHARE),
-            answers_by: now + grace.mul_f64(ANSWER_SHARE),
-        });
+        state.begin_stop(stop);
         state.enter_phase(FrontPhase::Leaving);
         // Another instance holds the caps once the registration is withdrawn.
         state.cap_service.stop_granting();
@@ -272,9 +283,8 @@
         let announcement = announce_stop(&state, &socket);
         let withdrawal = withdraw(&state, source.as_ref());
         tokio::join!(announcement, withdrawal);
-        sleep_until(started + grace.mul_f64(ACCEPT_SHARE)).await;
-        let shutdown_by = started + grace.mul_f64(STOP_SHARE);
-        let time_left = shutdown_by.saturating_duration_since(Instant::now());
+        sleep_until(state.clock.instant(stop.accepts_until())).await;
+        let time_left = stop.closes_by().since(state.clock.now());
         // The address for other instances may carry requests that they have forwarded.
         tokio::join!(callers.shut_down(time_left), relay.shut_down(time_left));
         drop((ready, directory, metrics));
@@ -282,7 +292,7 @@
         log::info!(
             "event=stopped instance={} elapsed_ms={}",
             state.settings.instance,
-            started.elapsed().as_millis()
+            state.clock.now().since(began).as_millis()
         );
     }
 }
@@ -390,6 +400,19 @@
     }
 }
 
+/// Reads how long a planned stop may take. The settings may have changed since they were last read, and
+/// the process is killed by the present ones.
+fn read_grace(state: &FrontState, reader: &SettingsReader) -> Duration {
+    let known = state.steering().bounds().grace;
+    match reader.read() {
+        Ok(settings) => settings.bounds.grace,
+        Err(error) => {
+            log::warn!("event=settings-unread step=stop error={error:?}");
+            known
+        }
+    }
+}
+
 async fn announce_stop(state: &FrontState, socket: &UdpSocket) {
     for _ in 0..STOP_HEARTBEATS {
         heartbeat::send_heartbeats(state, socket).await;
@@ -418,7 +441,7 @@
             received = hang_up.recv() => received.is_some(),
             _tick = ticks.recv() => false,
         };
-        let settings = match reader() {
+        let settings = match reader.read() {
             Ok(settings) => settings,
             Err(errors) => {
                 log::error!("event=reload-refused error={errors:?}");
--- a/crates/jackdawmux_front/src/process/mod.rs
+++ b/crates/jackdawmux_front/src/process/mod.rs
@@ -21,7 +21,7 @@
 pub use cap_service::{CapPermit, CapService};
 pub use error::FrontError;
 pub use heartbeat::{Heartbeat, decode_heartbeat, encode_heartbeat};
-pub use launch::{FrontParts, FrontProcess};
+pub use launch::{FrontParts, FrontProcess, SettingsReader};
 pub(crate) use peer_facts::{AdoptRestoreFacts, ApplyPeerConfig};
 pub use settings::FrontSettings;
 pub use state::{CapAccess, FrontPhase, FrontState};
--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -11,6 +11,7 @@
 use jackdawmux_policy::fleet::directory::InstanceDirectory;
 use jackdawmux_policy::fleet::freshness::FreshnessTracker;
 use jackdawmux_policy::fleet::placement::LookupSpread;
+use jackdawmux_policy::fleet::planned_stop::{BodyArrival, PlannedStop};
 use jackdawmux_policy::fleet::record::TeamRecord;
 use jackdawmux_policy::fleet::relay::{ReadPath, RelaySuspicions, RelayTimes};
 use jackdawmux_policy::fleet::retry_share::RetryFigures;
@@ -53,15 +54,6 @@
     Leaving,
 }
 
-/// Times of a planned stop.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct PlannedStop {
-    /// From when on a new request is accepted only if it ends in time.
-    pub(crate) late_from: PolicyTime,
-    /// When requests in progress get a final answer of this process.
-    pub(crate) answers_by: PolicyTime,
-}
-
 /// State that exists for the lifetime of the process.
 #[derive(Debug)]
 pub struct FrontState {
@@ -281,8 +273,8 @@
         FrontPhase::from_repr(self.phase.load(Ordering::Relaxed)).unwrap_or(FrontPhase::Starting)
     }
 
-    /// Sets the times of a planned stop.
-    pub(crate) fn plan_stop(&self, stop: PlannedStop) {
+    /// Begins a planned stop.
+    pub(crate) fn begin_stop(&self, stop: PlannedStop) {
         self.stop.send_replace(Some(stop));
     }
 
@@ -291,17 +283,22 @@
         let mut receiver = self.stop.subscribe();
         let stop = receiver.wait_for(Option::is_some).await.ok().and_then(|stop| *stop);
         match stop {
-            Some(stop) => sleep_until(self.clock.instant(stop.answers_by)).await,
+            Some(stop) => sleep_until(self.clock.instant(stop.answers_by())).await,
             None => pending().await,
         }
     }
 
-    /// Whether a request that is to be sent now may still be in progress when the planned stop answers
-    /// the requests that are left.
-    pub(crate) fn may_be_cut(&self, deadline: PolicyTime) -> bool {
-        let now = self.clock.now();
+    /// Whether a request may be started now at an endpoint. Late in a planned stop, one whose deadline
+    /// passes the final answers may not.
+    pub(crate) fn may_start(&self, deadline: PolicyTime, body: BodyArrival) -> bool {
+        let stop = *self.stop.borrow();
+        stop.is_none_or(|stop| stop.may_start(self.clock.now(), deadline, body))
+    }
+
+    /// Time from the beginning of a planned stop to a later moment; none without a stop.
+    pub(crate) fn since_stop(&self, moment: PolicyTime) -> Option<Duration> {
         let stop = *self.stop.borrow();
-        stop.is_some_and(|stop| now >= stop.late_from && deadline > stop.answers_by)
+        stop.filter(|stop| moment >= stop.began()).map(|stop| moment.since(stop.began()))
     }
 
     /// Enters a phase. `FrontPhase::Leaving` is final: later calls have no effect.
--- a/crates/jackdawmux_front/src/request/access_log.rs
+++ b/crates/jackdawmux_front/src/request/access_log.rs
@@ -97,7 +97,7 @@
             .collect();
         log::info!(
             "event=request request={} route={} team={} priority={} object={} service={} config={} status={} reason={reason} \
-             elapsed_ms={} allowed_ms={} sends={} origin={}",
+             elapsed_ms={} allowed_ms={} stopping_ms={} sends={} origin={}",
             plan.attempt_text(),
             plan.route.name,
             plan.team_text(),
@@ -108,6 +108,9 @@
             status.as_u16(),
             elapsed.as_millis(),
             plan.deadline.since(plan.started).as_millis(),
+            state
+                .since_stop(plan.started)
+                .map_or_else(|| "-".to_owned(), |since| since.as_millis().to_string()),
             if attempts.is_empty() { "none".to_owned() } else { attempts.join(",") },
             plan.hop.as_ref().map_or("-", |hop| hop.origin.as_str()),
         );
--- a/crates/jackdawmux_front/src/request/body.rs
+++ b/crates/jackdawmux_front/src/request/body.rs
@@ -9,6 +9,7 @@
 use http_body::{Body as HttpBody, Frame};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use jackdawmux_policy::fleet::planned_stop::BodyArrival;
 
 use super::held_bytes::HeldBudget;
 
@@ -85,6 +86,22 @@
         Ok(Self::Buffered(buffered.freeze()))
     }
 
+    /// Whether a body will have been received to its end before the first attempt, as far as its
+    /// declared size shows.
+    pub(crate) fn expected_arrival(incoming: &Body) -> BodyArrival {
+        let declared = incoming.size_hint().lower();
+        let is_buffered = usize::try_from(declared).is_ok_and(|size| size <= MAX_BUFFERED_BYTES);
+        if is_buffered { BodyArrival::Complete } else { BodyArrival::Partial }
+    }
+
+    /// Whether the body has been received to its end.
+    pub(crate) const fn arrival(&self) -> BodyArrival {
+        match self {
+            Self::Buffered(_) => BodyArrival::Complete,
+            Self::Streaming(_) => BodyArrival::Partial,
+        }
+    }
+
     /// The body for one attempt; none if it was streamed to an earlier one.
     pub(crate) fn for_attempt(&mut self) -> Option<Body> {
         match self {
--- a/crates/jackdawmux_front/src/request/forward.rs
+++ b/crates/jackdawmux_front/src/request/forward.rs
@@ -160,7 +160,7 @@
                 Ok(target) => target,
                 Err(chosen) if self.log_entry.attempt_count() == 0 => return Err(chosen),
                 Err(chosen) => {
-                    if chosen.is_held_off() || chosen.concerns_key() {
+                    if chosen.is_held_off() || chosen.concerns_key() || chosen.is_stopping() {
                         refusal = chosen;
                     }
                     break;
@@ -273,7 +273,8 @@
             let (state, deadline) = (self.state, self.plan.deadline);
             self.cap_permit = Some(acquire_cap(state, self.access.clone(), deadline).await?);
         }
-        let target = self.check_access().and_then(|()| self.choose());
+        let target =
+            self.check_access().and_then(|()| self.check_stop()).and_then(|()| self.choose());
         if target.is_err() && self.log_entry.attempt_count() == 0 {
             self.cap_permit.take().into_iter().for_each(CapPermit::give_back);
         }
@@ -295,6 +296,14 @@
         Ok(())
     }
 
+    /// Late in a planned stop, a request that has not run is not started at an endpoint unless it ends
+    /// in time. Its body, an earlier attempt or the cap of its team may have taken time since it arrived.
+    fn check_stop(&self) -> Result<(), FrontRefusal> {
+        let may_start = self.progress.is_sent()
+            || self.state.may_start(self.plan.deadline, self.body.arrival());
+        if may_start { Ok(()) } else { Err(FrontRefusal::Stopping) }
+    }
+
     /// Chooses an endpoint, or a peer while this instance reaches no endpoint. A request takes one hop
     /// between instances at most.
     fn choose(&self) -> Result<AttemptTarget, FrontRefusal> {
--- a/crates/jackdawmux_front/src/request/refusal.rs
+++ b/crates/jackdawmux_front/src/request/refusal.rs
@@ -178,6 +178,11 @@
         )
     }
 
+    /// Whether the process stops before the request could end.
+    pub(crate) const fn is_stopping(self) -> bool {
+        matches!(self, Self::Stopping)
+    }
+
     /// Whether another instance may still serve the request.
     pub(crate) const fn is_declinable(self) -> bool {
         matches!(self, Self::Isolated | Self::Stopping | Self::PermissionUnknown)
--- a/crates/jackdawmux_front/src/request/serve.rs
+++ b/crates/jackdawmux_front/src/request/serve.rs
@@ -123,14 +123,10 @@
     log_entry: &mut AccessLogEntry,
     progress: &SendProgress,
 ) -> Result<Response<Body>, FrontRefusal> {
-    if state.may_be_cut(plan.deadline) {
-        return Err(FrontRefusal::Stopping);
-    }
     let limit = plan.table.limits().max_body_bytes;
-    let body = RequestBody::read(body, limit).await?;
-    // The end of the body may arrive long after its head.
-    if state.may_be_cut(plan.deadline) {
+    if !state.may_start(plan.deadline, RequestBody::expected_arrival(&body)) {
         return Err(FrontRefusal::Stopping);
     }
+    let body = RequestBody::read(body, limit).await?;
     ForwardTask::new(state, plan, body, log_entry, progress).run().await
 }
--- a/crates/jackdawmux_native/tests/native.rs
+++ b/crates/jackdawmux_native/tests/native.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jackdawmux_front::process::FrontParts;
+use jackdawmux_front::process::{FrontParts, SettingsReader};
 use jackdawmux_front::{FrontProcess, FrontSettings};
 use jackdawmux_native::{NativeDialect, RulesSource, read_regions};
 use jackdawmux_policy::fleet::record::FleetBounds;
@@ -54,7 +54,7 @@
             settings,
             source: Arc::new(RulesSource::new(Arc::clone(&store), &address)),
             dialect: Arc::new(NativeDialect),
-            reader: Box::new(move || Ok(reloaded.clone())),
+            reader: SettingsReader::new(move || Ok(reloaded.clone())),
         };
         let front = FrontProcess::open(parts).await.expect("the front starts");
         let client = Client::builder().no_proxy().build().expect("the HTTP client is built");
--- a/crates/jackdawmux_policy/src/fleet/mod.rs
+++ b/crates/jackdawmux_policy/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 pub mod outlier;
 pub mod permission;
 pub mod placement;
+pub mod planned_stop;
 pub mod position;
 pub mod reachability;
 pub mod record;
