runtime: a refusal reaches a caller that is still sending its body

Callers saw: a connection reset (broken pipe while sending) in place of the 503 of a stopping front, or the 413 of a body that is too large. The refusal is written and the connection closed with the rest of the body unread, which makes the kernel reset it. A caller that loses a 503 does not know that its upload was not run, and may not send it again.

Now the connection's write side is closed, and what the caller still sends is read and discarded for at most a second or 4 MiB. Only connections in the middle of a body, or rejected by the guard, wait so.

--- a/crates/jackdawmux_runtime/src/guarded_stream.rs
+++ b/crates/jackdawmux_runtime/src/guarded_stream.rs
@@ -5,13 +5,14 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::head_guard::{FramingTracker, HeadObserver};
+use crate::lingering_close::LingeringClose;
 
 /// Size of a read from the socket, in bytes.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
@@ -30,10 +31,12 @@
     /// Positions in `accepted` at which requests start, with the number of requests before each.
     starts: VecDeque<(usize, u64)>,
     is_finished: bool,
+    is_rejected: bool,
     header_timeout: Duration,
     header_deadline: Option<Pin<Box<Sleep>>>,
     /// When the connection fails because the caller has read nothing; none while it reads.
     write_deadline: Option<Pin<Box<Sleep>>>,
+    close: LingeringClose,
 }
 
 impl<S> GuardedStream<S> {
@@ -47,9 +50,11 @@
             consumed: 0,
             starts: VecDeque::new(),
             is_finished: false,
+            is_rejected: false,
             header_timeout,
             header_deadline: None,
             write_deadline: None,
+            close: LingeringClose::new(),
         }
     }
 
@@ -106,6 +111,7 @@
             log::info!("event=request-rejected outcome=not-run reason={error:?}");
             self.accepted.extend_from_slice(self.tracker.rejection());
             self.is_finished = true;
+            self.is_rejected = true;
         }
         self.is_finished |= self.tracker.is_ended();
         if self.tracker.heads > heads {
@@ -116,6 +122,11 @@
         self.starts.extend(starts.zip(heads..));
     }
 
+    /// Whether the caller may be sending bytes that nobody will read.
+    fn may_be_sending(&self) -> bool {
+        if self.is_finished { self.is_rejected } else { self.tracker.is_in_body() }
+    }
+
     /// Passes on the result of a write. Fails when the caller has read nothing for too long.
     fn limit_stall(
         &mut self,
@@ -193,7 +204,7 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for GuardedStream<S> {
+impl<S: AsyncRead + AsyncWrite + Unpin> AsyncWrite for GuardedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -208,7 +219,12 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(context)
+        let this = &mut *self;
+        ready!(Pin::new(&mut this.inner).poll_shutdown(context))?;
+        if this.may_be_sending() {
+            ready!(this.close.poll_discard(&mut this.inner, context));
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn poll_write_vectored(
--- a/crates/jackdawmux_runtime/src/head_guard.rs
+++ b/crates/jackdawmux_runtime/src/head_guard.rs
@@ -132,6 +132,11 @@
         !self.head.is_empty()
     }
 
+    /// Whether a body is partly received.
+    pub(crate) fn is_in_body(&self) -> bool {
+        !matches!(self.state, FramingState::Head | FramingState::Ended)
+    }
+
     /// Processes bytes read from the connection and appends those that the library may parse to
     /// `accepted`.
     ///
--- a/crates/jackdawmux_runtime/src/lib.rs
+++ b/crates/jackdawmux_runtime/src/lib.rs
@@ -6,6 +6,7 @@
 mod guarded_stream;
 mod head_guard;
 mod headers;
+mod lingering_close;
 mod listener;
 mod log_writer;
 mod metrics;
