runtime: a stopping listener answers the pipelined requests that it has started

Callers saw (shown by a test, not reported): of two pipelined requests that were both at their endpoints before the signal, the second got no answer if the first took longer than new connections are accepted (0.7 of grace): the HTTP library closes a connection behind the response in progress once it is asked to shut down.

Ruled out: the response's own connection header, which read_ahead already leaves out in that case.

Before: stop_times pipelined_requests_are_answered_after_the_last_connection_was_accepted red.

--- a/crates/jackdawmux_runtime/src/listener.rs
+++ b/crates/jackdawmux_runtime/src/listener.rs
@@ -1,15 +1,18 @@
 //! Listener for callers: accepts connections, enforces limits and shuts down gracefully.
 
+use std::future::pending;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use axum::Router;
+use axum::body::Body;
 use axum::extract::ConnectInfo;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
+use hyper::service::HttpService;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, oneshot, watch};
@@ -124,14 +127,14 @@
     limits: watch::Receiver<ListenerLimits>,
     mut stopped: oneshot::Receiver<Duration>,
 ) {
-    let graceful = GracefulShutdown::new();
+    let stopping = watch::Sender::new(false);
     let permits = Arc::new(Semaphore::new(limits.borrow().max_connections));
     let max_wait = loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, peer)) => {
                     let limits = *limits.borrow();
-                    serve_connection(stream, peer, &service, limits, &permits, &graceful);
+                    serve_connection(stream, peer, &service, limits, &permits, &stopping);
                 }
                 Err(error) => {
                     log::warn!("event=accept-failed error={error}");
@@ -142,7 +145,9 @@
         }
     };
     drop(listener);
-    if timeout(max_wait, graceful.shutdown()).await.is_err() {
+    stopping.send_replace(true);
+    // Each connection holds a receiver until it ends.
+    if timeout(max_wait, stopping.closed()).await.is_err() {
         log::warn!("event=shutdown-cut reason=timeout");
     }
 }
@@ -153,7 +158,7 @@
     service: &CallerService,
     limits: ListenerLimits,
     permits: &Arc<Semaphore>,
-    graceful: &GracefulShutdown,
+    stopping: &watch::Sender<bool>,
 ) {
     let Ok(permit) = Arc::clone(permits).try_acquire_owned() else {
         tokio::spawn(refuse_connection(stream));
@@ -173,6 +178,7 @@
     if let Some(read_ahead) = &read_ahead {
         guarded = guarded.with_observer(Arc::clone(read_ahead) as Arc<dyn HeadObserver>);
     }
+    let (stopping, waiting) = (stopping.subscribe(), read_ahead.clone());
     let service = hyper::service::service_fn(move |mut request: hyper::Request<Incoming>| {
         request.extensions_mut().insert(ConnectInfo(peer));
         let (router, read_ahead) = (router.clone(), read_ahead.clone());
@@ -189,15 +195,47 @@
         .max_buf_size(buffer_bytes)
         .max_headers(MAX_HEADER_FIELDS)
         .serve_connection(TokioIo::new(guarded), service);
-    let connection = graceful.watch(connection);
     tokio::spawn(async move {
-        if let Err(error) = connection.await {
+        if let Err(error) = run_connection(connection, stopping, waiting).await {
             log::debug!("event=caller-connection-ended peer={peer} error={error}");
         }
         drop(permit);
     });
 }
 
+/// Runs a connection to its end. Once the listener stops, it ends after the requests that have been
+/// started.
+async fn run_connection<S>(
+    connection: http1::Connection<TokioIo<GuardedStream<TcpStream>>, S>,
+    mut stopping: watch::Receiver<bool>,
+    read_ahead: Option<Arc<ReadAhead>>,
+) -> hyper::Result<()>
+where
+    S: HttpService<Incoming, ResBody = Body>,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut connection = pin!(connection);
+    let close_due = async {
+        if stopping.wait_for(|is_stopping| *is_stopping).await.is_err() {
+            pending::<()>().await;
+        }
+        if let Some(read_ahead) = read_ahead {
+            read_ahead.wait_for_turns().await;
+        }
+    };
+    let ended = tokio::select! {
+        ended = connection.as_mut() => Some(ended),
+        () = close_due => None,
+    };
+    match ended {
+        Some(ended) => ended,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    }
+}
+
 async fn refuse_connection(mut stream: TcpStream) {
     if let Err(error) = stream.write_all(CONNECTION_LIMIT_RESPONSE).await {
         log::debug!("event=caller-lost error={error}");
--- a/crates/jackdawmux_runtime/src/read_ahead.rs
+++ b/crates/jackdawmux_runtime/src/read_ahead.rs
@@ -19,6 +19,7 @@
 use axum::http::request::Parts;
 use axum::http::{HeaderMap, Method, Request, Response, Uri};
 use hyper::body::Incoming;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tower::ServiceExt;
 
@@ -40,6 +41,8 @@
     filter: ReadAheadFilter,
     peer: SocketAddr,
     state: Mutex<ReadAheadState>,
+    /// Notified when the turn of the last started request has come.
+    turns_over: Notify,
 }
 
 #[derive(Default)]
@@ -80,7 +83,7 @@
 impl ReadAhead {
     /// Creates the state of a new connection.
     pub(crate) fn new(router: Router, filter: ReadAheadFilter, peer: SocketAddr) -> Self {
-        Self { router, filter, peer, state: Mutex::default() }
+        Self { router, filter, peer, state: Mutex::default(), turns_over: Notify::new() }
     }
 
     /// Serves the request whose turn has come.
@@ -112,6 +115,17 @@
         Ok(response)
     }
 
+    /// Waits until no request that was started early waits for its turn.
+    pub(crate) async fn wait_for_turns(&self) {
+        loop {
+            let turns_over = self.turns_over.notified();
+            if self.lock().started.is_empty() {
+                return;
+            }
+            turns_over.await;
+        }
+    }
+
     /// Takes the request that was started early, if it is the same as the one the library parsed.
     fn begin(&self, request: &Request<Incoming>) -> Option<StartedRequest> {
         let mut state = self.lock();
@@ -119,6 +133,9 @@
         state.begun += 1;
         let is_started = state.started.front().is_some_and(|started| started.index == index);
         let started = if is_started { state.started.pop_front() } else { None };
+        if state.started.is_empty() {
+            self.turns_over.notify_waiters();
+        }
         started.filter(|started| {
             started.method == request.method()
                 && started.uri == *request.uri()
