--- a/crates/jackdawmux_entry/src/connection/exchange.rs
+++ b/crates/jackdawmux_entry/src/connection/exchange.rs
@@ -6,7 +6,7 @@
 
 use axum::body::Body;
 use hyper::body::Incoming;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use tokio::time::timeout;
 
 use super::pool::{UpstreamConnection, UpstreamPool};
@@ -74,7 +74,7 @@
                 let is_named = echoed.is_some() && echoed == id.as_ref();
                 let is_own = is_named || id.is_none() || !connection.is_reused;
                 let names_another = echoed.is_some() && !is_named;
-                if !is_own || names_another || response.status().is_informational() {
+                if !is_own || names_another || !is_final(response.status()) {
                     let error = "the response may be that of another request".to_owned();
                     return ExchangeOutcome::Lost { is_closed: false, error };
                 }
@@ -98,6 +98,11 @@
     unsent(request, &io::Error::other("every connection tried was already closed"))
 }
 
+/// Whether a status is that of a final response. Other numbers belong to no class of HTTP.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 fn unsent(request: Request<Body>, error: &io::Error) -> ExchangeOutcome {
     ExchangeOutcome::Unsent { request: Box::new(request), error: error.to_string() }
 }
--- a/crates/jackdawmux_entry/tests/upstream_exchange.rs
+++ b/crates/jackdawmux_entry/tests/upstream_exchange.rs
@@ -68,6 +68,17 @@
     assert_eq!(send(&pool, address, "a-1").await, Some(200), "on a new connection");
 }
 
+/// Guards against a status that is none: callers could not tell whether the request ran.
+#[rstest]
+#[case::zero(&["HTTP/1.1 000 None\r\nJackdaw-Request-Id: a-1\r\nContent-Length: 0\r\n\r\n"])]
+#[case::below_all_classes(&["HTTP/1.1 099 None\r\nJackdaw-Request-Id: a-1\r\nContent-Length: 0\r\n\r\n"])]
+#[case::above_all_classes(&["HTTP/1.1 600 None\r\nJackdaw-Request-Id: a-1\r\nContent-Length: 0\r\n\r\n"])]
+#[tokio::test]
+async fn a_status_that_is_none_proves_nothing(#[case] responses: &'static [&'static str]) {
+    let address = start_upstream(responses).await;
+    assert_eq!(send(&UpstreamPool::default(), address, "a-1").await, None);
+}
+
 /// An upstream that names no exchange gets a new connection for each, so that its response can only be
 /// that of its request.
 #[tokio::test]
--- a/crates/jackdawmux_front/src/request/proof.rs
+++ b/crates/jackdawmux_front/src/request/proof.rs
@@ -9,6 +9,9 @@
 
 use crate::dialect::ResponseHeaders;
 
+/// Highest status code of a class that HTTP defines.
+const MAX_STATUS: u16 = 599;
+
 /// What a response proves about the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseProof {
@@ -30,6 +33,8 @@
     ForeignAnswer,
     /// It is not a final response: no request asks for another protocol.
     InterimAnswer,
+    /// Its status belongs to no class of HTTP.
+    InvalidStatus,
     /// It succeeds without the endpoint's signature, or has a content coding that nobody requested.
     UnsignedAnswer,
     /// Its status promises callers that the request did not run, which the endpoint does not say.
@@ -48,6 +53,9 @@
     if status.is_informational() {
         return ResponseProof::Nothing(ProofGap::InterimAnswer);
     }
+    if status.as_u16() > MAX_STATUS {
+        return ResponseProof::Nothing(ProofGap::InvalidStatus);
+    }
     let is_same = headers.attempt.as_ref() == sent;
     let is_named = is_same && sent.is_some();
     let names_another = !is_same && headers.attempt.is_some();
--- a/crates/jackdawmux_front/tests/response_proof.rs
+++ b/crates/jackdawmux_front/tests/response_proof.rs
@@ -15,7 +15,7 @@
 
 prop_compose! {
     fn response()(
-        status in 100..600_u16,
+        status in 100..1_000_u16,
         attempt in attempt(),
         flags in any::<[bool; 3]>(),
     ) -> (StatusCode, ResponseHeaders) {
@@ -60,7 +60,7 @@
         }
         if proof == ResponseProof::Answered {
             prop_assert!(![408, 421, 429, 503].contains(&status.as_u16()));
-            prop_assert!(!status.is_informational() && !headers.is_encoded);
+            prop_assert!((200..600).contains(&status.as_u16()) && !headers.is_encoded);
             prop_assert!(!status.is_success() || (headers.is_signed && headers.attempt == sent));
         }
     }
--- a/crates/jackdawmux_soak/src/proxy.rs
+++ b/crates/jackdawmux_soak/src/proxy.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
@@ -128,7 +128,7 @@
 }
 
 async fn relay(
-    client: TcpStream,
+    mut client: TcpStream,
     target: SocketAddr,
     generation: u64,
     state: &mut watch::Receiver<LinkState>,
@@ -136,26 +136,30 @@
     reset_on_close(&client);
     wait_while_blocked(state, Direction::Forward, generation).await;
     // When the target refuses the connection, the client receives a reset.
-    let Ok(server) = TcpStream::connect(target).await else {
+    let Ok(mut server) = TcpStream::connect(target).await else {
         return;
     };
     reset_on_close(&server);
-    let (client_read, client_write) = client.into_split();
-    let (server_read, server_write) = server.into_split();
+    // Halves that own the stream would close it in order when they are dropped.
+    let (client_read, client_write) = client.split();
+    let (server_read, server_write) = server.split();
     let forward =
         relay_one_way(client_read, server_write, Direction::Forward, generation, state.clone());
     let backward =
         relay_one_way(server_read, client_write, Direction::Backward, generation, state.clone());
-    tokio::join!(forward, backward);
+    // A reset of one side ends both directions at once, and resets the other side.
+    if let Err(error) = tokio::try_join!(forward, backward) {
+        log::debug!("event=proxy-connection-reset target={target} error={error:?}");
+    }
 }
 
 async fn relay_one_way(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     direction: Direction,
     generation: u64,
     mut state: watch::Receiver<LinkState>,
-) {
+) -> io::Result<()> {
     let mut buffer = vec![0; READ_BUFFER_BYTES];
     loop {
         let read = from.read(&mut buffer).await;
@@ -163,17 +167,9 @@
         if state.borrow().fault == Some(LinkFault::Delayed) {
             sleep(LINK_DELAY).await;
         }
-        match read {
-            Ok(count) if count > 0 => {
-                if to.write_all(&buffer[..count]).await.is_err() {
-                    return;
-                }
-            }
-            Ok(_) | Err(_) => {
-                // The receiving side may already be closed.
-                let _closed = to.shutdown().await;
-                return;
-            }
+        match read? {
+            0 => return to.shutdown().await,
+            count => to.write_all(&buffer[..count]).await?,
         }
     }
 }
