runtime: a response whose body fails ends with a reset

Callers saw (shown by a test, not reported): a caller of HTTP/1.0 got the first 600 kB of a response that its endpoint had reset, as a whole one. Such a response has neither length nor chunks and ends with its connection, which was closed in order. Callers of the users' pages speak HTTP/1.1, where the missing last chunk shows it.

Now the connection is reset when the body of a response fails. Ruled out: responses that were complete, whose connections end without an error of the body.

Before: cut_answers a_response_that_is_cut_resets_a_caller_without_chunks red (600,124 bytes look whole). After: cut_answers 13 of 13.

--- a/crates/jackdawmux_runtime/src/lib.rs
+++ b/crates/jackdawmux_runtime/src/lib.rs
@@ -2,6 +2,7 @@
 //! logging.
 
 mod boot_clock;
+mod caller_stream;
 mod clock;
 mod guarded_stream;
 mod head_guard;
--- a/crates/jackdawmux_runtime/src/listener.rs
+++ b/crates/jackdawmux_runtime/src/listener.rs
@@ -20,6 +20,7 @@
 use tokio::time::timeout;
 use tower::ServiceExt;
 
+use crate::caller_stream::{CallerStream, ResetSwitch};
 use crate::guarded_stream::GuardedStream;
 use crate::head_guard::HeadObserver;
 use crate::read_ahead::{ReadAhead, ReadAheadFilter};
@@ -169,6 +170,8 @@
         return;
     }
     let buffer_bytes = limits.max_header_bytes.max(MIN_BUFFER_BYTES);
+    let reset = ResetSwitch::default();
+    let stream = CallerStream::new(stream, reset.clone());
     let mut guarded = GuardedStream::new(stream, buffer_bytes, limits.header_timeout);
     let router = service.router.clone();
     let read_ahead = service
@@ -196,7 +199,7 @@
         .max_headers(MAX_HEADER_FIELDS)
         .serve_connection(TokioIo::new(guarded), service);
     tokio::spawn(async move {
-        if let Err(error) = run_connection(connection, stopping, waiting).await {
+        if let Err(error) = run_connection(connection, stopping, waiting, reset).await {
             log::debug!("event=caller-connection-ended peer={peer} error={error}");
         }
         drop(permit);
@@ -206,9 +209,10 @@
 /// Runs a connection to its end. Once the listener stops, it ends after the requests that have been
 /// started.
 async fn run_connection<S>(
-    connection: http1::Connection<TokioIo<GuardedStream<TcpStream>>, S>,
+    connection: http1::Connection<TokioIo<GuardedStream<CallerStream>>, S>,
     mut stopping: watch::Receiver<bool>,
     read_ahead: Option<Arc<ReadAhead>>,
+    reset: ResetSwitch,
 ) -> hyper::Result<()>
 where
     S: HttpService<Incoming, ResBody = Body>,
@@ -227,13 +231,18 @@
         ended = connection.as_mut() => Some(ended),
         () = close_due => None,
     };
-    match ended {
+    let ended = match ended {
         Some(ended) => ended,
         None => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+    };
+    // The body of a response has failed, which must not look like its end.
+    if ended.as_ref().is_err_and(hyper::Error::is_user) {
+        reset.turn_on();
     }
+    ended
 }
 
 async fn refuse_connection(mut stream: TcpStream) {
