front: uploads that their callers leave unfinished share one bound

Buffered requests now share 32 MiB, as responses do. When that is used up, a request of more than 8 KiB is refused, not run, with a time to return (no-memory). Tried and dropped: streaming such uploads to endpoints at once.

--- a/crates/jackdawmux_front/src/process/state.rs
+++ b/crates/jackdawmux_front/src/process/state.rs
@@ -38,6 +38,8 @@
 /// Bytes of buffered responses that one instance holds in all. Callers that read slowly would
 /// otherwise let it hold 512 KiB for each connection.
 const MAX_HELD_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
+/// The same of buffered requests, for callers that send slowly and endpoints that respond slowly.
+const MAX_HELD_REQUEST_BYTES: usize = 32 * 1024 * 1024;
 /// Bytes of replies of other instances that one instance reads at the same time.
 const MAX_HELD_REPLY_BYTES: usize = 32 * 1024 * 1024;
 
@@ -97,6 +99,8 @@
     pub(crate) restore_facts_at: watch::Sender<String>,
     /// Bytes of responses that wait for their callers.
     pub(crate) held: HeldBudget,
+    /// Bytes of requests that are buffered until they have been answered.
+    pub(crate) held_requests: HeldBudget,
     /// Bytes of replies of other instances that are being read.
     pub(crate) held_replies: HeldBudget,
     /// Age of the configuration in force and of the list of instances.
@@ -156,6 +160,7 @@
             later_config_at: watch::Sender::default(),
             restore_facts_at: watch::Sender::default(),
             held: HeldBudget::new(MAX_HELD_RESPONSE_BYTES),
+            held_requests: HeldBudget::new(MAX_HELD_REQUEST_BYTES),
             held_replies: HeldBudget::new(MAX_HELD_REPLY_BYTES),
             permission,
             steering: Mutex::new(steering),
@@ -184,6 +189,12 @@
         figures.find(|(name, _)| *name == service).map(|(_, figures)| figures)
     }
 
+    /// Bytes of requests that are buffered until they have been answered.
+    #[must_use]
+    pub fn held_request_bytes(&self) -> usize {
+        self.held_requests.held()
+    }
+
     /// Locks the record of the changes that this instance and its peers have applied.
     pub(crate) fn freshness(&self) -> MutexGuard<'_, FreshnessTracker> {
         self.freshness.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/jackdawmux_front/src/request/body.rs
+++ b/crates/jackdawmux_front/src/request/body.rs
@@ -17,9 +17,11 @@
 /// buffered response never reaches the caller truncated.
 const MAX_BUFFERED_BYTES: usize = 512 * 1024;
 
-/// Size up to which a response does not count towards what is held for slow callers, in bytes. A
-/// connection holds about as much anyway.
+/// Size up to which a response does not count towards what is held, in bytes. A connection holds about as
+/// much anyway.
 const MAX_UNCOUNTED_BYTES: usize = 32 * 1024;
+/// The same for a request. Many callers may stop in the middle of one.
+const MAX_UNCOUNTED_REQUEST_BYTES: usize = 8 * 1024;
 
 /// Why a request's body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +30,8 @@
     TooLarge,
     /// The caller's connection failed before the end of the body.
     Broken,
+    /// The bodies that this instance buffers leave no memory for it.
+    NoMemory,
 }
 
 /// Body of a request.
@@ -49,13 +53,19 @@
 }
 
 impl RequestBody {
-    /// Reads a body, up to the size that is buffered.
-    pub(crate) async fn read(mut incoming: Body, limit: u64) -> Result<Self, BodyError> {
+    /// Reads a body, up to the size that is buffered, within `budget`. A caller that stops in the middle
+    /// must take neither memory nor an endpoint from others.
+    pub(crate) async fn read(
+        mut incoming: Body,
+        limit: u64,
+        budget: &HeldBudget,
+    ) -> Result<Self, BodyError> {
         let declared = incoming.size_hint().exact();
         if declared.is_some_and(|size| size > limit) {
             return Err(BodyError::TooLarge);
         }
         let mut buffered = BytesMut::new();
+        let mut share = budget.share();
         while let Some(frame) = incoming.frame().await {
             let Ok(data) = frame
                 .map_err(|error| {
@@ -70,8 +80,11 @@
             if u64::try_from(buffered.len()).unwrap_or(u64::MAX) > limit {
                 return Err(BodyError::TooLarge);
             }
+            if buffered.len() > MAX_UNCOUNTED_REQUEST_BYTES && !share.grow_to(buffered.len()) {
+                return Err(BodyError::NoMemory);
+            }
             if buffered.len() > MAX_BUFFERED_BYTES {
-                let prefix = buffered.freeze();
+                let prefix = share.hold(buffered.freeze());
                 let failure = Arc::default();
                 let rest = BoundedBody {
                     prefix: Some(prefix),
@@ -83,7 +96,7 @@
                 return Ok(Self::Streaming(StreamingBody { body, failure }));
             }
         }
-        Ok(Self::Buffered(buffered.freeze()))
+        Ok(Self::Buffered(share.hold(buffered.freeze())))
     }
 
     /// Whether a body will have been received to its end before the first attempt, as far as its
--- a/crates/jackdawmux_front/src/request/refusal.rs
+++ b/crates/jackdawmux_front/src/request/refusal.rs
@@ -20,6 +20,8 @@
 const ISOLATED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry-after delay while this process stops. Another instance can serve the request at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(5);
+/// Retry-after delay while this instance buffers too many bodies. Another one may be free.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(120);
 /// Retry-after delay while this instance cannot show that a key is valid. The configuration is read
 /// again within this time if the source answers.
 const PERMISSION_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -47,6 +49,8 @@
     BodyTooLarge,
     /// The body could not be read to its end.
     BodyBroken,
+    /// This instance buffers too many bodies; the request was not run.
+    NoMemory,
     /// No endpoint may be selected for the request now; it was not run.
     #[strum(to_string = "not-chosen-{0}")]
     NotChosen(ChoiceRefusal),
@@ -93,6 +97,7 @@
         match error {
             BodyError::TooLarge => Self::BodyTooLarge,
             BodyError::Broken => Self::BodyBroken,
+            BodyError::NoMemory => Self::NoMemory,
         }
     }
 }
@@ -107,6 +112,7 @@
             | Self::Unreachable
             | Self::Isolated
             | Self::Stopping
+            | Self::NoMemory
             | Self::PermissionUnknown
             | Self::CapUnknown(_)
             | Self::DeadlineUnsent => StatusCode::SERVICE_UNAVAILABLE,
@@ -130,6 +136,7 @@
             | Self::CapUnknown(retry_after) => Some(retry_after),
             Self::Isolated => Some(ISOLATED_RETRY_AFTER),
             Self::Stopping => Some(STOPPING_RETRY_AFTER),
+            Self::NoMemory => Some(NO_MEMORY_RETRY_AFTER),
             Self::PermissionUnknown => Some(PERMISSION_RETRY_AFTER),
             Self::Unreachable | Self::DeadlineUnsent => Some(UNREACHABLE_RETRY_AFTER),
             Self::NoRoute
@@ -185,7 +192,7 @@
 
     /// Whether another instance may still serve the request.
     pub(crate) const fn is_declinable(self) -> bool {
-        matches!(self, Self::Isolated | Self::Stopping | Self::PermissionUnknown)
+        matches!(self, Self::Isolated | Self::Stopping | Self::NoMemory | Self::PermissionUnknown)
     }
 
     /// Kind of the refusal, without the details of the decision.
--- a/crates/jackdawmux_front/src/request/serve.rs
+++ b/crates/jackdawmux_front/src/request/serve.rs
@@ -127,6 +127,6 @@
     if !state.may_start(plan.deadline, RequestBody::expected_arrival(&body)) {
         return Err(FrontRefusal::Stopping);
     }
-    let body = RequestBody::read(body, limit).await?;
+    let body = RequestBody::read(body, limit, &state.held_requests).await?;
     ForwardTask::new(state, plan, body, log_entry, progress).run().await
 }
