--- a/crates/jackdawmux_front/src/relay/peer_reader.rs
+++ b/crates/jackdawmux_front/src/relay/peer_reader.rs
@@ -108,7 +108,7 @@
         let failed = |error: &dyn std::fmt::Display| relay_error(step, peer, error);
         let address = self.state.directory().heartbeat_address(peer);
         let address = address.ok_or_else(|| failed(&"not registered"))?;
-        let reading = async {
+        let asking = async {
             let response = self.client.get(format!("http://{address}{path}")).send().await?;
             let response = response.error_for_status()?;
             let is_empty = response.status() == StatusCode::NO_CONTENT;
@@ -116,7 +116,7 @@
             Ok::<_, reqwest::Error>((is_empty, has_proof, reqwest::Body::from(response)))
         };
         let reading = async {
-            let (is_empty, has_proof, body) = reading.await.map_err(|error| failed(&error))?;
+            let (is_empty, has_proof, body) = asking.await.map_err(|error| failed(&error))?;
             let mut share = self.state.held_replies.share();
             let bytes = read_bounded(body, MAX_REPLY_BYTES, &mut share).await;
             Ok((is_empty, has_proof, bytes.map_err(|error| failed(&error))?))
