--- a/crates/jackdawmux_entry/examples/soak.rs
+++ b/crates/jackdawmux_entry/examples/soak.rs
@@ -24,6 +24,7 @@
     seconds: u64,
     restores: usize,
     partitions: usize,
+    grace: u64,
 }
 
 fn parser() -> OptionParser<SoakFlags> {
@@ -44,6 +45,10 @@
         .help("Partitions of fronts from all endpoints per run")
         .argument("COUNT")
         .fallback(0);
+    let grace = long("grace")
+        .help("Time that a front has for a planned stop")
+        .argument("SECONDS")
+        .fallback(3);
     construct!(SoakFlags {
         first_seed,
         seeds,
@@ -53,7 +58,8 @@
         callers,
         seconds,
         restores,
-        partitions
+        partitions,
+        grace
     })
     .to_options()
     .descr("Runs real front processes under random faults and checks their promises")
@@ -97,6 +103,7 @@
         fault_duration: Duration::from_secs(flags.seconds),
         restores: flags.restores,
         partitions: flags.partitions,
+        grace: Duration::from_secs(flags.grace),
     };
     let permits = Arc::new(Semaphore::new(flags.parallel));
     let mut runs = JoinSet::new();
--- a/crates/jackdawmux_entry/tests/fronts.rs
+++ b/crates/jackdawmux_entry/tests/fronts.rs
@@ -6,6 +6,7 @@
 use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
+use std::time::Duration;
 
 use jackdawmux_platform_standins::machine::MachineConfig;
 use rstest::rstest;
@@ -110,6 +111,7 @@
         port: free.expect("a port is free").port(),
         // Nothing listens there: the front starts, but it cannot serve requests.
         store: SocketAddr::from(([127, 76, 0, 2], 1)),
+        grace: Duration::from_secs(3),
     };
     let fresh = directory.join("front.toml.new");
     std::fs::write(&fresh, site.settings(&[("north-a", "north")])).expect("the file is written");
--- a/crates/jackdawmux_entry/tests/soak.rs
+++ b/crates/jackdawmux_entry/tests/soak.rs
@@ -13,7 +13,11 @@
     fault_duration: Duration::from_secs(10),
     restores: 0,
     partitions: 0,
+    grace: Duration::from_secs(3),
 };
+/// The same with another grace period.
+const SIZE_WITH_LONG_GRACE: SoakSize = SoakSize { grace: Duration::from_secs(10), ..SIZE };
+
 /// The same with two restores of the store.
 const SIZE_WITH_RESTORES: SoakSize = SoakSize { restores: 2, ..SIZE };
 
@@ -36,6 +40,7 @@
 
 soak_case!(promises_hold_under_signals_and_link_faults, 11, SIZE);
 soak_case!(promises_hold_under_updates_and_endpoint_loss, 12, SIZE);
+soak_case!(promises_hold_with_a_long_grace_period, 14, SIZE_WITH_LONG_GRACE);
 soak_case!(promises_hold_when_the_store_is_restored, 12, SIZE_WITH_RESTORES);
 soak_case!(promises_hold_when_fronts_are_partitioned, 13, SIZE_WITH_PARTITIONS);
 // The soak process was not scheduled for seconds. It noticed only after the stop grace that a front
--- a/crates/jackdawmux_soak/src/fleet.rs
+++ b/crates/jackdawmux_soak/src/fleet.rs
@@ -140,6 +140,8 @@
     pub disturbances: DisturbanceLog,
     /// Other events of the run.
     pub events: Mutex<FleetLog>,
+    /// Time that a front has for a planned stop.
+    pub grace: Duration,
     program: PathBuf,
     directory: PathBuf,
     next_endpoint: AtomicU32,
@@ -159,7 +161,7 @@
         let store = StoreStandin::bind().await;
         let mut fronts = Vec::new();
         for index in 0..size.fronts {
-            fronts.push(prepare_front(index, &store).await?);
+            fronts.push(prepare_front(index, &store, size.grace).await?);
         }
         let mut fleet = Self {
             store,
@@ -168,6 +170,7 @@
             all_endpoints: Mutex::default(),
             disturbances: DisturbanceLog::default(),
             events: Mutex::default(),
+            grace: size.grace,
             program,
             directory,
             next_endpoint: AtomicU32::new(0),
@@ -305,7 +308,11 @@
     }
 }
 
-async fn prepare_front(index: usize, store: &StoreStandin) -> io::Result<SoakFront> {
+async fn prepare_front(
+    index: usize,
+    store: &StoreStandin,
+    grace: Duration,
+) -> io::Result<SoakFront> {
     let number = NEXT_INSTANCE_NUMBER.fetch_add(1, Ordering::SeqCst);
     let [.., high, low] = (number / INSTANCES_PER_BLOCK).to_be_bytes();
     let host = u8::try_from(number % INSTANCES_PER_BLOCK).map_err(io::Error::other)? + 1;
@@ -319,6 +326,7 @@
         ip,
         port,
         store: store_link.address,
+        grace,
     };
     let caller_link = LinkProxy::bind(config.address()).await?;
     let (child, starts) = (Mutex::new(None), AtomicU64::new(0));
--- a/crates/jackdawmux_soak/src/inject.rs
+++ b/crates/jackdawmux_soak/src/inject.rs
@@ -16,8 +16,6 @@
 use crate::plan::{FaultKind, PlannedFault};
 use crate::record::{ExclusionRecord, PartitionRecord};
 
-/// Time that a front has for a planned stop; the `grace` of the fronts' settings.
-pub const STOP_GRACE: Duration = Duration::from_secs(3);
 /// Time for which an endpoint still serves after it was registered as draining; the `drain` of the
 /// fronts' settings.
 pub const DRAIN_TIME: Duration = Duration::from_secs(2);
@@ -130,7 +128,7 @@
 ) -> bool {
     let mut waited = Duration::ZERO;
     loop {
-        let Some(state) = poll_stop(fleet, front, start_number, waited > STOP_GRACE) else {
+        let Some(state) = poll_stop(fleet, front, start_number, waited > fleet.grace) else {
             return false;
         };
         let was_frozen = || {
--- a/crates/jackdawmux_soak/src/run.rs
+++ b/crates/jackdawmux_soak/src/run.rs
@@ -52,6 +52,8 @@
     pub restores: usize,
     /// Partitions of fronts from all endpoints.
     pub partitions: usize,
+    /// Time that a front has for a planned stop.
+    pub grace: Duration,
 }
 
 /// Result of a run.
