--- a/review/common-3/harness.rs
+++ b/review/common-3/harness.rs
@@ -14,17 +14,48 @@
 
 /// Host of all routes.
 pub const HOST: &str = "a.example";
-/// Zones of the site, with their regions.
-pub const ZONES: [(&str, &str); 6] = [
-    ("tln-a", "tallinn"),
-    ("tln-b", "tallinn"),
-    ("trt-a", "tartu"),
-    ("trt-b", "tartu"),
-    ("rix-a", "riga"),
-    ("rix-b", "riga"),
-];
-/// Time within which an endpoint that leaves must get no more requests, in the settings.
-pub const DRAIN: Duration = Duration::from_secs(3);
+/// Zones and bounds of a site, as far as they differ between the sites of the cases.
+pub struct Site {
+    pub zones: &'static [(&'static str, &'static str)],
+    pub drain_ms: u64,
+    pub apply_ms: u64,
+    pub stability_ms: u64,
+    pub retry_slack: u32,
+    pub cold_slack: u32,
+}
+
+pub const TURULETI: Site = Site {
+    zones: &[
+        ("tln-a", "tallinn"),
+        ("tln-b", "tallinn"),
+        ("trt-a", "tartu"),
+        ("trt-b", "tartu"),
+        ("rix-a", "riga"),
+        ("rix-b", "riga"),
+    ],
+    drain_ms: 3_000,
+    apply_ms: 3_000,
+    stability_ms: 4_000,
+    retry_slack: 218,
+    cold_slack: 8,
+};
+
+pub const CHAUXPARTAGE: Site = Site {
+    zones: &[
+        ("nord-a", "nord"),
+        ("centre-a", "centre"),
+        ("sud-a", "sud"),
+        ("nord-b", "nord"),
+        ("centre-b", "centre"),
+        ("sud-b", "sud"),
+    ],
+    drain_ms: 2_500,
+    apply_ms: 2_500,
+    stability_ms: 3_000,
+    retry_slack: 62,
+    cold_slack: 5,
+};
+
 /// Grace period of the settings.
 pub const GRACE: Duration = Duration::from_secs(6);
 
@@ -169,9 +200,21 @@
 
 /// Formats a client's request.
 pub fn request(method: &str, path: &str, attempt: &str, limit: Duration, body: &[u8]) -> Vec<u8> {
+    request_for("17", method, path, attempt, limit, body)
+}
+
+/// Formats a client's request that concerns an object.
+pub fn request_for(
+    object: &str,
+    method: &str,
+    path: &str,
+    attempt: &str,
+    limit: Duration,
+    body: &[u8],
+) -> Vec<u8> {
     let mut head = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\n\
-         X-Affinity-Key: 17\r\nX-Deadline-Ms: {}\r\n",
+         X-Affinity-Key: {object}\r\nX-Deadline-Ms: {}\r\n",
         limit.as_millis()
     );
     if method != "GET" {
@@ -261,16 +304,26 @@
 
     /// Registers an endpoint that is ready.
     pub fn register(&self, id: &str, address: SocketAddr, zone: &str) {
-        self.report(id, address, zone, "ready", 1);
+        self.report(id, address, zone, (0, 1), Duration::ZERO);
     }
 
-    /// Writes what an endpoint reports of itself. The store has accepted it on return.
-    pub fn report(&self, id: &str, address: SocketAddr, zone: &str, state: &str, sequence: u64) {
+    /// Writes what an endpoint that is ready reports of itself: how much later than the first start it
+    /// has started, in ms, the number of the report, and how much longer it is cold.
+    pub fn report(
+        &self,
+        id: &str,
+        address: SocketAddr,
+        zone: &str,
+        (started, sequence): (u64, u64),
+        cold: Duration,
+    ) {
+        let born = 1_790_000_000_000 + started;
         let spec = format!(
-            r#"{{"address":"{address}","born":1790000000000,"info":{{"service":"ledger","version":"v1","zone":"{zone}","slots":9}}}}"#
+            r#"{{"address":"{address}","born":{born},"info":{{"service":"ledger","version":"v1","zone":"{zone}","slots":9}}}}"#
         );
+        let cold = cold.as_millis();
         let status =
-            format!(r#"{{"state":"{state}","sequence":{sequence},"coldLeft":"0ms"}}"#);
+            format!(r#"{{"state":"ready","sequence":{sequence},"coldLeft":"{cold}ms"}}"#);
         self.put("servers", id, &spec, &status);
     }
 
@@ -405,9 +458,14 @@
 
 /// A manifest with a safe, an unsafe and an upload route to one service.
 pub fn manifest(timeout: Duration) -> String {
+    manifest_with(timeout, false)
+}
+
+/// The same; `is_sticky` says whether requests for one object prefer one endpoint.
+pub fn manifest_with(timeout: Duration, is_sticky: bool) -> String {
     let route = |name: &str, prefix: &str, kind: &str| {
         format!(
-            r#"{{"name":"{name}","host":"{HOST}","pathPrefix":"{prefix}","kind":"{kind}","timeout":"{}ms","targetLatency":"600ms","priority":1,"service":"ledger","maxAttempts":2,"sticky":false,"homeRegions":[]}}"#,
+            r#"{{"name":"{name}","host":"{HOST}","pathPrefix":"{prefix}","kind":"{kind}","timeout":"{}ms","targetLatency":"600ms","priority":1,"service":"ledger","maxAttempts":2,"sticky":{is_sticky},"homeRegions":[]}}"#,
             timeout.as_millis()
         )
     };
@@ -471,11 +529,11 @@
 impl Front {
     /// Starts a front on a loopback address of its own.
     pub fn start(name: &str, zone: &str, store: SocketAddr) -> Self {
-        Self::start_sized(name, zone, store, 0.4)
+        Self::start_at(&TURULETI, name, zone, store)
     }
 
-    /// Starts a front with this share of a core in its settings.
-    pub fn start_sized(name: &str, zone: &str, store: SocketAddr, cpu_share: f64) -> Self {
+    /// Starts a front of another site.
+    pub fn start_at(site: &Site, name: &str, zone: &str, store: SocketAddr) -> Self {
         let run = run_command();
         let metrics: u16 = run
             .iter()
@@ -487,22 +545,23 @@
         let stamp = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |age| age.as_nanos());
         let folder = std::env::temp_dir().join(format!("review-3-{}-{stamp}", std::process::id()));
         let settings = folder.join("node.toml");
-        let text = settings_text(name, zone, ip, port, store, cpu_share);
+        let text = settings_text(site, name, zone, ip, port, store);
         let written = fs::create_dir_all(&folder).and_then(|()| fs::write(&settings, text));
         let log = File::create(folder.join("log"));
         let (Ok(()), Ok(log)) = (written, log) else { cannot_run("temporary folder") };
-        let child = Command::new(&run[0])
-            .args(&run[1..])
-            .env("JACKDAWMUX_NODE_FILE", &settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().unwrap_or_else(|_| cannot_run("log")))
-            .stderr(log)
-            .spawn()
-            .unwrap_or_else(|_| cannot_run("the program of the deploy file is not built"));
-        CHILDREN.lock().unwrap().push(child.id());
+        let child = spawn(&run, &settings, log);
         Self { name: name.to_owned(), address: at(0), ready: at(1), child, folder }
     }
 
+    /// Waits for the process to exit and starts it again, as the platform does.
+    pub fn restart(&mut self) {
+        let _ = self.child.wait();
+        CHILDREN.lock().unwrap().retain(|pid| *pid != self.child.id());
+        let log = File::options().append(true).open(self.folder.join("log"));
+        let log = log.unwrap_or_else(|_| cannot_run("log"));
+        self.child = spawn(&run_command(), &self.folder.join("node.toml"), log);
+    }
+
     /// Waits until the front says that it is ready.
     pub fn wait_until_ready(&mut self) {
         let deadline = Instant::now() + Duration::from_secs(20);
@@ -543,6 +602,19 @@
     }
 }
 
+fn spawn(run: &[String], settings: &std::path::Path, log: File) -> Child {
+    let child = Command::new(&run[0])
+        .args(&run[1..])
+        .env("JACKDAWMUX_NODE_FILE", settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().unwrap_or_else(|_| cannot_run("log")))
+        .stderr(log)
+        .spawn()
+        .unwrap_or_else(|_| cannot_run("the program of the deploy file is not built"));
+    CHILDREN.lock().unwrap().push(child.id());
+    child
+}
+
 /// Words of `run` in the deploy file.
 fn run_command() -> Vec<String> {
     let text = fs::read_to_string("deploy/system.toml").unwrap_or_default();
@@ -581,16 +653,16 @@
 }
 
 fn settings_text(
+    site: &Site,
     name: &str,
     zone: &str,
     ip: IpAddr,
     port: u16,
     store: SocketAddr,
-    cpu_share: f64,
 ) -> String {
-    let region = ZONES.iter().find(|(found, _)| *found == zone).map_or("", |(_, region)| *region);
+    let region = site.zones.iter().find(|(found, _)| *found == zone).map_or("", |(_, region)| *region);
     let zones: Vec<String> =
-        ZONES.iter().map(|(zone, region)| format!("{zone} = \"{region}\"")).collect();
+        site.zones.iter().map(|(zone, region)| format!("{zone} = \"{region}\"")).collect();
     let zones = zones.join("\n");
     format!(
         r#"node = "{name}"
@@ -615,7 +687,7 @@
 ready = "{ip}:{ready}"
 directory = "{ip}:{directory}"
 [limits]
-cpuShare = {cpu_share}
+cpuShare = 0.4
 cores = 1
 memoryMb = 512
 maxFds = 8192
@@ -628,20 +700,20 @@
 [bounds]
 seedLag = "3s"
 reuseAfter = "2s"
-stabilityWindow = "4000ms"
+stabilityWindow = "{stability}ms"
 ack = "5000ms"
 catchUp = "6s"
 drain = "{drain}ms"
 grace = "{grace}s"
 lossSlack = "200ms"
-configApply = "3000ms"
+configApply = "{apply}ms"
 rollbackSlack = "250ms"
 maxStretch = "5000ms"
 retryBudgetRatio = 0.2
 budgetWindow = "10s"
-retryBudgetSlack = 218
+retryBudgetSlack = {retry_slack}
 coldMultiplier = 1.5
-coldSlack = 8
+coldSlack = {cold_slack}
 evacuation = "5000ms"
 recovery = "15s"
 ttl_max = "5s"
@@ -659,7 +731,11 @@
         directory = port + 2,
         internal = port + 3,
         internal_last = port + 4,
-        drain = DRAIN.as_millis(),
+        drain = site.drain_ms,
+        apply = site.apply_ms,
+        stability = site.stability_ms,
+        retry_slack = site.retry_slack,
+        cold_slack = site.cold_slack,
         grace = GRACE.as_secs(),
     )
 }
--- a/review/common-3/main.rs
+++ b/review/common-3/main.rs
@@ -2,6 +2,7 @@
 //! 2 if the case could not run.
 
 mod harness;
+mod rolling_cold;
 mod slow_client;
 mod stray_head;
 
@@ -42,6 +43,7 @@
     let (trouble, record) = (Trouble::read(), harness::Record::start());
     record.add(format!("{name} {trouble:?}"));
     let breaks = match name.as_str() {
+        "rolling-cold" => rolling_cold::run(trouble, &record),
         "slow-client" => slow_client::run(trouble, &record),
         "stray-head-twice" => stray_head::run(Aim::Twice, trouble, &record),
         "stray-head-mixed" => stray_head::run(Aim::Mixed, trouble, &record),
